--- /dev/null
+++ b/cmd/verbenaside/main.go
@@ -0,0 +1,12 @@
+// Command verbenaside is the daemon of verbenaway on the users' platform.
+package main
+
+import (
+	"os"
+
+	"verbenaway/platform"
+)
+
+func main() {
+	os.Exit(platform.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -24,6 +24,9 @@
 	// off by default: a stall of the daemon's own host looks the same, and the fall of the
 	// limit to coldSlots then refused nearly all of 11,000 requests/s for good.
 	WatchLatency bool
+	// IsRegistered says that the upstream registers itself on the platform: Adopt tells its
+	// slots and its cold starts, which the ramp is not used for then.
+	IsRegistered bool
 }
 
 // Request is what admission needs to know of a request.
@@ -36,6 +39,13 @@
 	SenderVersion core.Version
 	// Deadline is never zero.
 	Deadline time.Time
+	// Service is the part of a divided route that was chosen; empty means that of the route.
+	Service core.ServiceName
+	// Target is the time until which an answer is of full use, zero if that is Deadline.
+	Target time.Time
+	// NoWait refuses the request rather than letting it wait, because another upstream seems
+	// to have room.
+	NoWait bool
 }
 
 // Ticket is one request under admission control. The caller allocates it and keeps it from
@@ -46,6 +56,7 @@
 
 	request      Request
 	class        core.RequestClass
+	rank         int
 	state        ticketState
 	epoch        uint64
 	doubts       uint64
@@ -72,6 +83,8 @@
 	GiveUp time.Time
 	Kind   core.Kind
 	Detail string
+	// RetryAfter is the time after which a refused request may find room, 0 if unknown.
+	RetryAfter time.Duration
 }
 
 // Wake ends the wait of a request: it runs if Kind is empty and is refused otherwise.
@@ -90,11 +103,15 @@
 	limits   limitSet
 	inFlight int
 	bulk     int
-	// lookups and orders hold the waiting requests in order of arrival.
-	lookups  []*Ticket
-	orders   []*Ticket
+	// queue holds the waiting requests by rank and then by arrival.
+	queue    []*Ticket
 	draining bool
-	wakes    []Wake
+	// upstream is the record that Adopt took over, nil if there is none.
+	upstream   *Upstream
+	doubtUntil time.Time
+	pace       pace
+	holds      holds
+	wakes      []Wake
 }
 
 // New returns a controller that assumes a cold upstream.
@@ -114,12 +131,13 @@
 // call.
 func (c *Controller) Configure(now time.Time, snapshot *core.Snapshot) []Wake {
 	c.wakes = c.wakes[:0]
-	if snapshot == c.snapshot || c.snapshot != nil && snapshot.Version < c.snapshot.Version {
+	if snapshot == c.snapshot || c.snapshot != nil && snapshot.IsBefore(c.snapshot) {
 		return nil
 	}
 	c.snapshot = snapshot
-	c.service = snapshot.Services[c.config.Self.Service]
+	c.service = snapshot.Services[c.serviceName()]
 	c.ramp.configure(c.service)
+	c.holds.keep(snapshot.Routes)
 	c.limits.configure(now, snapshot)
 	c.refuseWaiting(func(ticket *Ticket) (core.Kind, string) {
 		_, kind, detail := c.check(&ticket.request)
@@ -153,14 +171,17 @@
 	}
 	ticket.request = request
 	ticket.class = route.Class
+	ticket.rank = rankOf(route)
 	ticket.routeLimits = c.limits.routes[request.Route]
 	ticket.tenantLimits = c.limits.tenants[request.Tenant]
 	if !fits(ticket.routeLimits) || !fits(ticket.tenantLimits) {
 		return refuse(core.Limited, "too many requests at once")
 	}
-	wait := !c.mayRun(ticket.class) || c.waiting() > 0
-	if wait && !c.mayWait(ticket.class) {
-		return refuse(c.busyKind(), "every slot is in use")
+	wait := !c.mayRun(now, ticket.class) || c.ahead(ticket.rank) > 0
+	if wait && !c.mayWait(now, ticket) {
+		decision := refuse(c.busyKind(now), "every slot is in use")
+		decision.RetryAfter = c.expectedWait(now, ticket.rank)
+		return decision
 	}
 	if !hasToken(now, ticket.routeLimits) || !hasToken(now, ticket.tenantLimits) {
 		return refuse(core.Limited, "the rate is used up")
@@ -180,19 +201,13 @@
 	if ticket.state != ticketWaiting {
 		return false
 	}
-	queue := c.queueOf(ticket.class)
-	if i := slices.Index(*queue, ticket); i >= 0 {
-		*queue = slices.Delete(*queue, i, i+1)
+	if i := slices.Index(c.queue, ticket); i >= 0 {
+		c.queue = slices.Delete(c.queue, i, i+1)
 	}
 	c.leaveQueue(ticket)
 	return true
 }
 
-// BusyKind returns the kind of refusal for a request that found no slot.
-func (c *Controller) BusyKind() core.Kind {
-	return c.busyKind()
-}
-
 // Report tells what the upstream showed while it ran a request; see Signal. The boot id is
 // empty if the upstream sent none.
 func (c *Controller) Report(now time.Time, ticket *Ticket, signal Signal, bootID string) {
@@ -230,6 +245,9 @@
 	}
 	ticket.state = ticketDone
 	c.inFlight--
+	if success {
+		c.holds.observe(ticket.request.Route, now.Sub(ticket.begun))
+	}
 	if ticket.class == core.ClassBulk {
 		c.bulk--
 	}
@@ -252,9 +270,9 @@
 	return c.waiting()
 }
 
-// Limit returns the number of slots that the ramp allows now.
+// Limit returns the number of slots that may be used now.
 func (c *Controller) Limit() int {
-	return c.ramp.limit()
+	return c.limit()
 }
 
 // RampChange returns a change of the ramp worth an event since the last call.
@@ -273,26 +291,73 @@
 	}
 }
 
+// rankOf returns the place of a route's requests in the queue, lower first.
+func rankOf(route core.RouteSpec) int {
+	rank := 2 * route.Priority
+	if route.Class != core.ClassLookup {
+		rank++
+	}
+	return rank
+}
+
 // mayRun tells whether a slot is free for the class. Bulk leaves the reserved slots free,
 // but may always use one: an upstream with bulk requests only has to get warm too.
-func (c *Controller) mayRun(class core.RequestClass) bool {
-	limit := c.ramp.limit()
-	if c.inFlight >= limit {
+func (c *Controller) mayRun(now time.Time, class core.RequestClass) bool {
+	limit := c.limit()
+	if c.inFlight >= limit || !c.mayBegin(now) {
 		return false
 	}
 	return class != core.ClassBulk || c.bulk < max(1, limit-c.service.ReservedSlots)
 }
 
-func (c *Controller) mayWait(class core.RequestClass) bool {
-	length := c.config.QueueLength
-	if length == 0 {
-		length = c.service.Slots
+// ahead returns the number of waiting requests that go before a new one of a rank.
+func (c *Controller) ahead(rank int) int {
+	i, _ := slices.BinarySearchFunc(c.queue, rank, func(ticket *Ticket, rank int) int {
+		if ticket.rank <= rank {
+			return -1
+		}
+		return 1
+	})
+	return i
+}
+
+// mayWait tells whether a request that cannot run at once may wait. Where the time of full
+// use is known, a request that would miss it is refused at once: the slot serves another one
+// in time, and the caller can come back.
+func (c *Controller) mayWait(now time.Time, ticket *Ticket) bool {
+	request := &ticket.request
+	if request.NoWait || ticket.class == core.ClassBulk {
+		return false
+	}
+	if request.Target.IsZero() {
+		length := c.config.QueueLength
+		if length == 0 {
+			length = c.service.Slots
+		}
+		return c.waiting() < length
+	}
+	expected := c.expectedWait(now, ticket.rank) + c.holds.of(request.Route)
+	return !now.Add(expected).After(request.Target)
+}
+
+// expectedWait estimates when a new request of a rank would begin.
+func (c *Controller) expectedWait(now time.Time, rank int) time.Duration {
+	places := time.Duration(c.ahead(rank) + 1)
+	limit := time.Duration(max(c.limit(), 1))
+	wait := places * c.holds.all / limit
+	if c.isCold(now) {
+		wait = max(wait, places*time.Second/time.Duration(c.coldPerSecond()))
 	}
-	return class != core.ClassBulk && c.waiting() < length
+	return wait
+}
+
+// BusyKind returns the kind of refusal for a request that found no slot.
+func (c *Controller) BusyKind(now time.Time) core.Kind {
+	return c.busyKind(now)
 }
 
-func (c *Controller) busyKind() core.Kind {
-	if c.ramp.limit() < c.service.Slots {
+func (c *Controller) busyKind(now time.Time) core.Kind {
+	if c.isCold(now) || !c.config.IsRegistered && c.ramp.limit() < c.service.Slots {
 		return core.Cold
 	}
 	return core.Overloaded
@@ -304,6 +369,9 @@
 	ticket.doubts = c.ramp.doubts
 	ticket.begun = now
 	c.inFlight++
+	if c.service.ColdRate > 0 {
+		c.pace.take(now, c.coldPerSecond())
+	}
 	if ticket.class == core.ClassBulk {
 		c.bulk++
 	}
@@ -311,27 +379,33 @@
 
 func (c *Controller) enqueue(now time.Time, ticket *Ticket) Decision {
 	ticket.state = ticketWaiting
-	ticket.giveUp = now.Add(c.config.MaxWait)
+	ticket.giveUp = c.giveUpAt(now, ticket)
 	if ticket.request.Deadline.Before(ticket.giveUp) {
 		ticket.giveUp = ticket.request.Deadline
 	}
-	queue := c.queueOf(ticket.class)
-	*queue = append(*queue, ticket)
+	c.queue = slices.Insert(c.queue, c.ahead(ticket.rank), ticket)
 	return Decision{
 		Wait:   true,
 		GiveUp: ticket.giveUp,
 	}
 }
 
-func (c *Controller) waiting() int {
-	return len(c.lookups) + len(c.orders)
+// giveUpAt returns the time at which waiting stops to make sense. The estimate of a wait that
+// was accepted may be short by half.
+func (c *Controller) giveUpAt(now time.Time, ticket *Ticket) time.Time {
+	if ticket.request.Target.IsZero() {
+		return now.Add(c.config.MaxWait)
+	}
+	latest := ticket.request.Target.Add(-c.holds.of(ticket.request.Route))
+	expected := now.Add(2 * c.expectedWait(now, ticket.rank))
+	if expected.After(latest) {
+		return expected
+	}
+	return latest
 }
 
-func (c *Controller) queueOf(class core.RequestClass) *[]*Ticket {
-	if class == core.ClassLookup {
-		return &c.lookups
-	}
-	return &c.orders
+func (c *Controller) waiting() int {
+	return len(c.queue)
 }
 
 func (c *Controller) leaveQueue(ticket *Ticket) {
@@ -342,33 +416,27 @@
 
 // refuseWaiting removes the waiting requests for which the rule returns a kind.
 func (c *Controller) refuseWaiting(rule func(*Ticket) (core.Kind, string)) {
-	for _, queue := range []*[]*Ticket{&c.lookups, &c.orders} {
-		*queue = slices.DeleteFunc(*queue, func(ticket *Ticket) bool {
-			kind, detail := rule(ticket)
-			if kind == "" {
-				return false
-			}
-			c.leaveQueue(ticket)
-			c.wakes = append(c.wakes, Wake{
-				Ticket: ticket,
-				Kind:   kind,
-				Detail: detail,
-			})
-			return true
+	c.queue = slices.DeleteFunc(c.queue, func(ticket *Ticket) bool {
+		kind, detail := rule(ticket)
+		if kind == "" {
+			return false
+		}
+		c.leaveQueue(ticket)
+		c.wakes = append(c.wakes, Wake{
+			Ticket: ticket,
+			Kind:   kind,
+			Detail: detail,
 		})
-	}
+		return true
+	})
 }
 
-// grant gives free slots to waiting requests, lookups first, and refuses those whose time in
-// the queue is over.
+// grant gives free slots to waiting requests in the order of the queue, and refuses those
+// whose time in the queue is over.
 func (c *Controller) grant(now time.Time) {
-	for c.waiting() > 0 && c.inFlight < c.ramp.limit() {
-		queue := &c.lookups
-		if len(*queue) == 0 {
-			queue = &c.orders
-		}
-		ticket := (*queue)[0]
-		*queue = slices.Delete(*queue, 0, 1)
+	for c.waiting() > 0 && c.inFlight < c.limit() && c.mayBegin(now) {
+		ticket := c.queue[0]
+		c.queue = slices.Delete(c.queue, 0, 1)
 		wake := Wake{
 			Ticket: ticket,
 		}
@@ -377,7 +445,7 @@
 			wake.Kind, wake.Detail = core.DeadlineBeforeRun, "the deadline passed in the queue"
 			c.leaveQueue(ticket)
 		case !now.Before(ticket.giveUp):
-			wake.Kind, wake.Detail = c.busyKind(), "no slot became free in time"
+			wake.Kind, wake.Detail = c.busyKind(now), "no slot became free in time"
 			c.leaveQueue(ticket)
 		default:
 			c.start(now, ticket)
--- a/core/admit/check.go
+++ b/core/admit/check.go
@@ -23,8 +23,8 @@
 	if snapshot.Out[self.AvailabilityZone] {
 		return route, core.ZoneOut, "the availability zone is taken out"
 	}
-	if route.Service != self.Service || c.service.Slots < 1 {
-		return route, core.NoUpstream, "this host does not carry the service"
+	if kind, detail := c.checkService(request, route); kind != "" {
+		return route, kind, detail
 	}
 	if !mayServe(self.Region, request.HomeRegions, route.HomeRegions, c.service.HomeRegions) {
 		return route, core.HomeRegion, "the region is not a home region of the request"
@@ -45,6 +45,26 @@
 	return route, "", ""
 }
 
+// checkService applies the rules about the service that the upstream carries.
+func (c *Controller) checkService(request *Request, route core.RouteSpec) (core.Kind, string) {
+	service := request.Service
+	if service == "" {
+		service = route.Service
+	}
+	if service != route.Service && !slices.ContainsFunc(route.Split, func(part core.SplitSpec) bool {
+		return part.Service == service
+	}) {
+		return core.NoUpstream, "the route no longer leads to the service"
+	}
+	if service != c.serviceName() || c.service.Slots < 1 {
+		return core.NoUpstream, "this host does not carry the service"
+	}
+	if c.upstream != nil && c.upstream.IsLeaving {
+		return core.Leaving, "the upstream is leaving"
+	}
+	return "", ""
+}
+
 // mayServe tells whether a region is in every list that is not empty.
 func mayServe(region core.Region, lists ...[]core.Region) bool {
 	for _, list := range lists {
--- /dev/null
+++ b/core/admit/holds.go
@@ -0,0 +1,55 @@
+package admit
+
+import (
+	"time"
+
+	"verbenaway/core"
+)
+
+// holdWeight is the weight of the latest request in the mean times; about the last twenty
+// requests count.
+const holdWeight = 0.1
+
+// holds keeps how long requests occupy a slot.
+type holds struct {
+	all    time.Duration
+	routes map[core.RouteName]time.Duration
+}
+
+func (h *holds) reset() {
+	h.all = 0
+	h.routes = nil
+}
+
+// observe notes the time of a finished request.
+func (h *holds) observe(route core.RouteName, held time.Duration) {
+	if h.routes == nil {
+		h.routes = map[core.RouteName]time.Duration{}
+	}
+	h.all = blend(h.all, held)
+	h.routes[route] = blend(h.routes[route], held)
+}
+
+func blend(mean, value time.Duration) time.Duration {
+	if mean == 0 {
+		return value
+	}
+	return mean + time.Duration(holdWeight*float64(value-mean))
+}
+
+// of returns the usual time of a route, that of all routes if it is not known.
+func (h *holds) of(route core.RouteName) time.Duration {
+	if held, ok := h.routes[route]; ok {
+		return held
+	}
+	return h.all
+}
+
+// keep forgets routes that no longer exist.
+func (h *holds) keep(routes map[core.RouteName]core.RouteSpec) {
+	for name := range h.routes {
+		if _, ok := routes[name]; !ok {
+			delete(h.routes, name)
+		}
+	}
+}
--- a/core/config.go
+++ b/core/config.go
@@ -40,6 +40,18 @@
 	ReservedSlots int `toml:"reservedSlots" json:"reservedSlots"`
 	// HomeRegions limits where the service lives; empty means everywhere.
 	HomeRegions []Region `toml:"homeRegions,omitempty" json:"homeRegions,omitempty"`
+	// ColdRate is the number of requests per second that an upstream bears in a cold start; 0
+	// means that ColdSlots alone bounds it. Notes do not carry it.
+	ColdRate float64 `toml:"-" json:"-"`
+	// HealthPath answers whether the upstream is well. Notes do not carry it.
+	HealthPath string `toml:"-" json:"-"`
+}
+
+// SplitSpec is one part of a route that is divided between services.
+type SplitSpec struct {
+	Service ServiceName
+	// Weight is the share of the part relative to the other parts, at least 0.
+	Weight int
 }
 
 // RouteSpec maps requests to a service.
@@ -49,7 +61,8 @@
 	Host string `toml:"host" json:"host"`
 	// PathPrefix begins with a slash and matches whole path segments.
 	PathPrefix string `toml:"pathPrefix" json:"pathPrefix"`
-	// Methods is not empty. No two routes have host, prefix, tenant and a method in common.
+	// Methods is not empty in a note; empty means any. No two routes have host, prefix, tenant
+	// and a method in common.
 	Methods []string `toml:"methods" json:"methods"`
 	// Tenant restricts the route to requests of one tenant; empty means any.
 	Tenant  TenantName   `toml:"tenant,omitempty" json:"tenant,omitempty"`
@@ -61,6 +74,21 @@
 	Timeout Duration `toml:"timeout" json:"timeout"`
 	// HomeRegions is within the home regions of the service and of the tenant.
 	HomeRegions []Region `toml:"homeRegions,omitempty" json:"homeRegions,omitempty"`
+	// Split divides the requests between services; Service is its first part then. Notes do
+	// not carry it.
+	Split []SplitSpec `toml:"-" json:"-"`
+	// MaxAttempts bounds the upstreams that one request is sent to; 0 means no bound of the
+	// route. Notes do not carry it.
+	MaxAttempts int `toml:"-" json:"-"`
+	// LatencyTarget is the time within which an answer is of full use to the caller; 0 means
+	// Timeout. Notes do not carry it.
+	LatencyTarget Duration `toml:"-" json:"-"`
+	// IsStrict means that PathPrefix has to begin the path as it stands, closing slash included.
+	// Notes do not carry it.
+	IsStrict bool `toml:"-" json:"-"`
+	// Priority ranks requests that wait for the same upstream, lower first; within a priority
+	// Class decides. Notes do not carry it.
+	Priority int `toml:"-" json:"-"`
 }
 
 // TenantSpec describes one tenant.
@@ -117,7 +145,10 @@
 // immutable once published; readers share it without locks.
 type Snapshot struct {
 	Version Version
-	Hash    Hash
+	// Revision orders snapshots of one version, such as before and after an availability zone
+	// was taken out. It is 0 where each change has a version of its own.
+	Revision uint64
+	Hash     Hash
 	// Region is the region that the snapshot was sliced for; empty means whole.
 	Region   Region
 	Regions  map[Region]RegionSpec
@@ -134,6 +165,14 @@
 	Refused []RefusedNote
 }
 
+// IsBefore tells whether s is older than other.
+func (s *Snapshot) IsBefore(other *Snapshot) bool {
+	if s.Version != other.Version {
+		return s.Version < other.Version
+	}
+	return s.Revision < other.Revision
+}
+
 // RefusedNote tells why a note changed nothing.
 type RefusedNote struct {
 	Version Version `json:"version"`
--- a/core/event.go
+++ b/core/event.go
@@ -48,6 +48,9 @@
 	EventViewConfirmed  EventKind = "viewConfirmed"
 	EventStoreFailed    EventKind = "storeFailed"
 	EventStoreRecovered EventKind = "storeRecovered"
+	EventValueRefused   EventKind = "valueRefused"
+	EventSettingsRead   EventKind = "settingsRead"
+	EventServerFailed   EventKind = "serverFailed"
 )
 
 // EventKindInfo describes one event kind for help and reference pages.
@@ -77,6 +80,9 @@
 	{Kind: EventViewConfirmed, Meaning: "The view was confirmed after a pause."},
 	{Kind: EventStoreFailed, Meaning: "The store stopped answering this reader."},
 	{Kind: EventStoreRecovered, Meaning: "The store answers this reader again."},
+	{Kind: EventValueRefused, Meaning: "A value of the store cannot be read and is not used."},
+	{Kind: EventSettingsRead, Meaning: "The settings file was read again."},
+	{Kind: EventServerFailed, Meaning: "The daemon no longer takes connections on one of its addresses."},
 }
 
 // Event is one entry of the time line.
@@ -88,6 +94,8 @@
 	Kind             EventKind        `json:"kind"`
 	// Version is the version concerned, 0 if none.
 	Version Version `json:"version,omitempty"`
+	// Revision is that of the platform's store at the change concerned, 0 if none.
+	Revision uint64 `json:"revision,omitempty"`
 	// Subject is the member, availability zone, role or error kind concerned.
 	Subject string `json:"subject,omitempty"`
 	Detail  string `json:"detail,omitempty"`
--- a/core/iface.go
+++ b/core/iface.go
@@ -67,6 +67,11 @@
 	// EligibleAt and LeavingAt are those of MemberEvent.
 	EligibleAt int64
 	LeavingAt  int64
+	// Slots is the number of slots that the upstream itself reports, 0 if it reports none.
+	Slots int
+	// ColdUntil is the local time at which the cold start of the upstream ends, zero if none
+	// is known.
+	ColdUntil time.Time
 }
 
 // Departure is the end of a process that may have owned idempotency keys.
--- a/core/kind.go
+++ b/core/kind.go
@@ -48,6 +48,7 @@
 	StoreBusy      Kind = "storeBusy"
 	StoreMalformed Kind = "storeMalformed"
 	StoreStale     Kind = "storeStale"
+	StoreCompacted Kind = "storeCompacted"
 	StoreFork      Kind = "storeFork"
 
 	PeerUnreachable Kind = "peerUnreachable"
@@ -116,6 +117,7 @@
 	{Kind: StoreBusy, Meaning: "The store refuses reads over its rate.", Action: "None: readers back off."},
 	{Kind: StoreMalformed, Meaning: "The store's answer cannot be read.", Action: "Check the store."},
 	{Kind: StoreStale, Meaning: "The store shows an older head than the version in force.", Action: "Restore the missing notes in the store."},
+	{Kind: StoreCompacted, Meaning: "The store no longer holds the changes asked for.", Action: "None: the daemon reads the whole content."},
 	{Kind: StoreFork, Meaning: "The store shows another note under a number already in force.", Action: "Restore the original note in the store."},
 
 	{Kind: PeerUnreachable, Meaning: "Another daemon does not answer.", Action: "None."},
--- a/core/peers.go
+++ b/core/peers.go
@@ -26,6 +26,9 @@
 	// AdminAddress answers status and metrics.
 	AdminAddress string    `json:"adminAddress"`
 	State        HostState `json:"state"`
+	// Instance identifies the process of the upstream where the platform tells it, so that
+	// nothing known of a former process at the same address is used for the next one.
+	Instance string `json:"instance,omitempty"`
 }
 
 // HostList is the platform's lagging list of hosts.
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -38,15 +38,15 @@
 	return b
 }
 
-// Request counts one request. A full budget is only read, which keeps its cache line
+// Request implements core.RetryBudget. A full budget is only read, which keeps its cache line
 // shared between cores while nothing fails.
-func (b *Budget) Request() {
+func (b *Budget) Request(time.Time) {
 	if b.tokens.Load() < mostSaved {
 		b.tokens.Add(perRequest)
 	}
 }
 
-// Take uses up one retry if there is one.
+// Take implements core.RetryBudget.
 func (b *Budget) Take(now time.Time) bool {
 	b.fillFloor(now)
 	for {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -11,6 +11,8 @@
 	Kind core.Kind
 	// NotRun is true only if it is certain that the attempt ran nothing.
 	NotRun bool
+	// Arrived is false only if it is certain that no upstream got the request.
+	Arrived bool
 }
 
 // Allowed tells whether a request may be sent again after a failure at all. An attempt
@@ -46,6 +48,11 @@
 		Longest:  100 * time.Millisecond,
 		Attempts: 4,
 	}
+	// DeclinedPace is for requests that gatekeepers decline before their upstreams see them.
+	// Another one is asked at once; only the deadline and the number of attempts bound it.
+	DeclinedPace = Pace{
+		Attempts: 8,
+	}
 	OwnerPace = Pace{
 		First:   10 * time.Millisecond,
 		Longest: 500 * time.Millisecond,
@@ -58,15 +65,20 @@
 
 // Next tells whether to make another attempt after the given number of attempts, and how
 // long to wait before it. It uses up budget only if it does.
-func (p Pace) Next(now, deadline time.Time, attempts int, budget *Budget, random uint64) (wait time.Duration, ok bool) {
-	if p.Attempts > 0 && attempts >= p.Attempts {
+func (p Pace) Next(now, deadline time.Time, attempts int, budget core.RetryBudget, random uint64) (wait time.Duration, ok bool) {
+	if wait, ok = p.Free(now, deadline, attempts, random); !ok {
 		return 0, false
 	}
-	wait = p.wait(attempts, random)
-	if deadline.Sub(now) < wait+leastLeft {
+	return wait, budget.Take(now)
+}
+
+// Free is Next for an attempt that needs no budget.
+func (p Pace) Free(now, deadline time.Time, attempts int, random uint64) (wait time.Duration, ok bool) {
+	if p.Attempts > 0 && attempts >= p.Attempts {
 		return 0, false
 	}
-	return wait, budget.Take(now)
+	wait = p.wait(attempts, random)
+	return wait, deadline.Sub(now) >= wait+leastLeft
 }
 
 // wait draws from the whole range up to the backoff, which spreads the retries of requests
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -39,13 +39,13 @@
 		random := rand.New(rand.NewPCG(1, 0))
 		budget := retry.NewBudget(start)
 		for range good {
-			budget.Request()
+			budget.Request(start)
 		}
 		now, attempts := start, 0
 		const requests = 1000
 		for range requests {
 			now = now.Add(5 * time.Millisecond)
-			budget.Request()
+			budget.Request(start)
 			for tried := 1; ; tried++ {
 				attempts++
 				if _, ok := retry.ElsewherePace.Next(now, now.Add(time.Second), tried, budget, random.Uint64()); !ok {
--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -77,7 +77,9 @@
 	Host core.Host
 	// OtherRegion tells that the request leaves the region.
 	OtherRegion bool
-	upstream    *upstream
+	// HasRoom tells that the upstream seemed to have a free slot.
+	HasRoom  bool
+	upstream *upstream
 }
 
 // NewBalancer returns a balancer that knows no upstream yet.
@@ -108,6 +110,7 @@
 	for _, tiers := range [][]tier{g.alive, g.suspect} {
 		for round := withFreeSlot; round <= anyUpstream; round++ {
 			if choice, ok = b.chooseIn(now, query, g, tiers, round); ok {
+				choice.HasRoom = round == withFreeSlot
 				return choice, true
 			}
 		}
--- a/core/route/explain.go
+++ b/core/route/explain.go
@@ -100,7 +100,7 @@
 	case !hasPrefix(request.Path, normalPrefix(r.Spec.PathPrefix)):
 		step.Reason = ReasonPath
 		step.Detail = "has prefix " + r.Spec.PathPrefix
-	case !slices.Contains(r.Spec.Methods, request.Method):
+	case len(r.Spec.Methods) > 0 && !slices.Contains(r.Spec.Methods, request.Method):
 		step.Reason = ReasonMethod
 		step.Detail = "has " + strings.Join(r.Spec.Methods, ", ")
 	case r.Spec.Tenant != "" && r.Spec.Tenant != request.Tenant:
--- a/core/route/group.go
+++ b/core/route/group.go
@@ -72,6 +72,7 @@
 				host: member.Host,
 			}
 		}
+		u.slots.Store(int64(member.Slots))
 		kept[member.Host.Name] = u
 		switch reason := excludedBy(member, query.Snapshot); {
 		case reason == ReasonDead:
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -37,6 +37,8 @@
 	Complete bool
 	// homes is the set of route and service together.
 	homes *Homes
+	// split is nil unless the route is divided.
+	split *splitter
 }
 
 // Request holds the properties of a request that decide its route.
@@ -98,6 +100,9 @@
 		Complete: ok,
 		homes:    intern(newHomes(spec.HomeRegions).and(newHomes(service.HomeRegions))),
 	}
+	if len(spec.Split) > 0 {
+		r.split = newSplitter(spec.Split)
+	}
 	host := normalHost(spec.Host)
 	if t.hosts[host] == nil {
 		t.hosts[host] = hostRoutes{}
@@ -114,6 +119,20 @@
 	t.hosts[host][prefix][spec.Tenant] = list
 }
 
+// Inherit goes on with the shares of divided routes where the table before it stopped. It is
+// called before the table is used.
+func (t *Table) Inherit(before *Table) {
+	splits := map[core.RouteName]*splitter{}
+	for r := range before.Routes() {
+		splits[r.Spec.Name] = r.split
+	}
+	for r := range t.Routes() {
+		if r.split != nil {
+			r.split.inherit(splits[r.Spec.Name])
+		}
+	}
+}
+
 // intersect computes the sets for all pairs of a route and a tenant.
 func (t *Table) intersect() {
 	sets := map[*Homes]bool{}
@@ -199,10 +218,11 @@
 	path := request.Path
 	for {
 		if tenants, ok := prefixes[path]; ok {
-			if r := findMethod(tenants[request.Tenant], request.Method); r != nil {
+			isWhole := len(path) == len(request.Path) && path != "/"
+			if r := findMethod(tenants[request.Tenant], request.Method, isWhole); r != nil {
 				return r
 			}
-			if r := findMethod(tenants[""], request.Method); r != nil {
+			if r := findMethod(tenants[""], request.Method, isWhole); r != nil {
 				return r
 			}
 		}
@@ -216,9 +236,14 @@
 	}
 }
 
-func findMethod(list []*Route, method string) *Route {
+// findMethod returns the first route with a method. A strict route does not match if its
+// prefix without the closing slash is the whole path.
+func findMethod(list []*Route, method string, isWhole bool) *Route {
 	for _, r := range list {
-		if slices.Contains(r.Spec.Methods, method) {
+		if isWhole && r.Spec.IsStrict {
+			continue
+		}
+		if len(r.Spec.Methods) == 0 || slices.Contains(r.Spec.Methods, method) {
 			return r
 		}
 	}
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -45,7 +45,9 @@
 // upstream is what the entry knows about one upstream. All fields change without locks;
 // they are hints that need not agree with each other.
 type upstream struct {
-	host        core.Host
+	host core.Host
+	// slots is the limit that the upstream itself reports, 0 if it reports none.
+	slots       atomic.Int64
 	outstanding atomic.Int64
 	// load packs the requests that others had in flight (high half) and the limit.
 	load   atomic.Uint64
@@ -89,6 +91,9 @@
 // use returns the requests in flight including one more, and the limit.
 func (u *upstream) use(now time.Time, slots int) (inFlight, limit float64) {
 	inFlight = float64(u.outstanding.Load() + 1)
+	if own := int(u.slots.Load()); own > 0 {
+		slots = own
+	}
 	limit = float64(max(slots, 1))
 	age := now.UnixNano() - u.loadAt.Load()
 	if age < 0 || age >= int64(loadAge) {
--- /dev/null
+++ b/io/follow/follower.go
@@ -0,0 +1,338 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"verbenaway/core"
+	"verbenaway/core/follow"
+)
+
+const (
+	// DefaultWatchWait is how long a watch is parked. A connection that went silent is
+	// noticed after this time and the client's time limit together, which has to stay below
+	// the times in which zones and upstreams have to be left.
+	DefaultWatchWait = 2 * time.Second
+	// firstBackoff and longestBackoff bound the pause after a failed call. The longest is
+	// small against the seconds within which a change has to be in force.
+	firstBackoff   = 50 * time.Millisecond
+	longestBackoff = 800 * time.Millisecond
+	// leastListGap spaces listings that hints of newer versions ask for.
+	leastListGap = time.Second
+)
+
+// Config configures a Follower.
+type Config struct {
+	Self     core.Host
+	Registry core.Registry
+	Clock    core.Clock
+	Journal  core.Journal
+	State    follow.Config
+	// WatchWait is how long a watch is parked; 0 means DefaultWatchWait.
+	WatchWait time.Duration
+	// Changed is called after each change of what the request path uses. Optional.
+	Changed func()
+}
+
+// Counters count what a Follower did since it began.
+type Counters struct {
+	Lists    atomic.Int64
+	Watches  atomic.Int64
+	Failures atomic.Int64
+	// ContactAt is the time of the last answer of the store in Unix nanoseconds.
+	ContactAt atomic.Int64
+}
+
+// Follower follows a registry. It implements core.ConfigView and core.MemberView.
+type Follower struct {
+	Counters Counters
+
+	config Config
+	view   atomic.Pointer[follow.View]
+	ready  atomic.Bool
+
+	mu       sync.Mutex
+	state    *follow.State
+	expiry   *time.Timer
+	isLost   bool
+	listedAt time.Time
+	// interrupt ends the current watch; nil between watches.
+	interrupt context.CancelFunc
+	wantsList bool
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns a follower that knows nothing until Start.
+func New(config Config) *Follower {
+	if config.WatchWait <= 0 {
+		config.WatchWait = DefaultWatchWait
+	}
+	f := &Follower{
+		config: config,
+		state:  follow.New(config.State),
+		done:   make(chan struct{}),
+	}
+	f.view.Store(&follow.View{})
+	return f
+}
+
+// Name implements core.Service.
+func (f *Follower) Name() string {
+	return "follower"
+}
+
+// Start implements core.Service.
+func (f *Follower) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	go f.run(ctx)
+	return nil
+}
+
+// Stop implements core.Service.
+func (f *Follower) Stop(context.Context) error {
+	f.cancel()
+	<-f.done
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.expiry != nil {
+		f.expiry.Stop()
+	}
+	return nil
+}
+
+// run lists once and watches from there; after a failure it goes on from the last known
+// revision.
+func (f *Follower) run(ctx context.Context) {
+	defer close(f.done)
+	backoff := firstBackoff
+	isComplete := false
+	for ctx.Err() == nil {
+		if f.takeWish() {
+			isComplete = false
+		}
+		err := f.step(ctx, isComplete)
+		switch {
+		case err == nil:
+			isComplete = true
+			backoff = firstBackoff
+			continue
+		case ctx.Err() != nil:
+			return
+		case core.KindOf(err) == core.StoreCompacted:
+			isComplete = false
+			continue
+		case f.hasWish():
+			continue
+		}
+		f.failed(err)
+		pause(ctx, backoff/2+rand.N(backoff/2))
+		backoff = min(backoff*2, longestBackoff)
+	}
+}
+
+// step makes one call.
+func (f *Follower) step(ctx context.Context, isComplete bool) error {
+	if !isComplete {
+		f.Counters.Lists.Add(1)
+		listing, err := f.config.Registry.List(ctx)
+		if err != nil {
+			return err
+		}
+		f.update(func(now time.Time) {
+			f.listedAt = now
+			f.state.List(now, listing)
+		})
+		return nil
+	}
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.interrupt = cancel
+	after := f.state.Revision()
+	f.mu.Unlock()
+	f.Counters.Watches.Add(1)
+	changes, err := f.config.Registry.Watch(watchCtx, after, f.config.WatchWait)
+	f.mu.Lock()
+	f.interrupt = nil
+	f.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	f.update(func(now time.Time) {
+		f.state.Watch(now, changes)
+	})
+	return nil
+}
+
+// update applies an answer of the store and publishes the view.
+func (f *Follower) update(apply func(now time.Time)) {
+	f.mu.Lock()
+	now := f.config.Clock.Now()
+	f.Counters.ContactAt.Store(now.UnixNano())
+	wasLost := f.isLost
+	f.isLost = false
+	f.state.StoreBack(now)
+	apply(now)
+	f.publish(now)
+	notices := f.state.Notices()
+	f.mu.Unlock()
+	if wasLost {
+		f.record(follow.Notice{
+			Kind: core.EventStoreRecovered,
+		})
+	}
+	for _, notice := range notices {
+		f.record(notice)
+	}
+	if len(notices) > 0 && f.config.Changed != nil {
+		f.config.Changed()
+	}
+}
+
+// publish stores the view and sets the timer for the next upstream whose grace ends. The
+// caller holds the mutex.
+func (f *Follower) publish(now time.Time) {
+	next := f.state.Expire(now)
+	view := f.state.View()
+	f.view.Store(&view)
+	if f.state.IsReady() && !f.ready.Swap(true) {
+		f.record(follow.Notice{
+			Kind: core.EventReady,
+		})
+	}
+	if next.IsZero() {
+		return
+	}
+	if f.expiry != nil {
+		f.expiry.Stop()
+	}
+	f.expiry = time.AfterFunc(next.Sub(now), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.publish(f.config.Clock.Now())
+	})
+}
+
+// failed notes that the store does not answer.
+func (f *Follower) failed(err error) {
+	f.Counters.Failures.Add(1)
+	f.mu.Lock()
+	wasLost := f.isLost
+	f.isLost = true
+	f.state.StoreLost()
+	f.mu.Unlock()
+	if !wasLost {
+		f.record(follow.Notice{
+			Kind:   core.EventStoreFailed,
+			Detail: err.Error(),
+		})
+	}
+}
+
+func (f *Follower) record(notice follow.Notice) {
+	var version core.Version
+	if snapshot := f.view.Load().Snapshot; snapshot != nil {
+		version = snapshot.Version
+	}
+	f.config.Journal.Record(core.Event{
+		Host:             f.config.Self.Name,
+		AvailabilityZone: f.config.Self.AvailabilityZone,
+		Kind:             notice.Kind,
+		Version:          version,
+		Revision:         notice.Revision,
+		Subject:          notice.Subject,
+		Detail:           notice.Detail,
+	})
+}
+
+// Snapshot implements core.ConfigView.
+func (f *Follower) Snapshot() (*core.Snapshot, core.Kind) {
+	if !f.ready.Load() {
+		return nil, core.Starting
+	}
+	return f.view.Load().Snapshot, ""
+}
+
+// Observe implements core.ConfigView. A version that another daemon already uses while this
+// one does not have it makes it read the store at once.
+func (f *Follower) Observe(_ core.HostName, version core.Version) {
+	snapshot := f.view.Load().Snapshot
+	if snapshot == nil || version <= snapshot.Version {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Clock.Now()
+	if f.interrupt == nil || now.Sub(f.listedAt) < leastListGap {
+		return
+	}
+	f.listedAt = now
+	f.wantsList = true
+	f.interrupt()
+}
+
+// takeWish tells whether Observe asked for a listing.
+func (f *Follower) takeWish() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	wish := f.wantsList
+	f.wantsList = false
+	return wish
+}
+
+func (f *Follower) hasWish() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.wantsList
+}
+
+// Self implements core.MemberView.
+func (f *Follower) Self() core.Host {
+	return f.config.Self
+}
+
+// OfService implements core.MemberView.
+func (f *Follower) OfService(service core.ServiceName) []core.Member {
+	return f.view.Load().Members[service]
+}
+
+// OwnerLease implements core.MemberView: no daemon owns idempotency keys here.
+func (f *Follower) OwnerLease() time.Time {
+	return time.Time{}
+}
+
+// Departed implements core.MemberView.
+func (f *Follower) Departed(core.ServiceName) []core.Departure {
+	return nil
+}
+
+// Upstream returns the upstream that is registered at an address.
+func (f *Follower) Upstream(name core.HostName) (core.Member, bool) {
+	member, ok := f.view.Load().ByName[name]
+	return member, ok
+}
+
+// Size returns the number of upstreams in use.
+func (f *Follower) Size() int {
+	return len(f.view.Load().ByName)
+}
+
+// IsReady tells whether the daemon knows configuration and upstreams.
+func (f *Follower) IsReady() bool {
+	return f.ready.Load()
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/io/proxy/buffers.go
+++ b/io/proxy/buffers.go
@@ -49,6 +49,7 @@
 }
 
 func (p *bufferPool) put(buffer *[]byte) {
+	*buffer = (*buffer)[:cap(*buffer)]
 	p.pool.Put(buffer)
 }
 
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -46,6 +46,14 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Sleep waits before another attempt. Optional.
 	Sleep func(ctx context.Context, wait time.Duration) error
+	// Dialect is that of a platform whose upstreams register themselves. Optional. With one,
+	// callers of any region are carried to the home regions, idempotency keys mean nothing,
+	// and refusals by gatekeepers cost no retry budget.
+	Dialect core.Dialect
+	// NewBudget returns the retry budget of a service, which the dialect needs.
+	NewBudget func(service core.ServiceName, now time.Time) core.RetryBudget
+	// Decisions takes the decisions on requests. Optional.
+	Decisions core.DecisionLog
 }
 
 // Entry takes requests from callers and carries them to the gatekeeper of an upstream. It
@@ -64,6 +72,8 @@
 	mu       sync.Mutex
 	inFlight atomic.Int64
 	draining atomic.Bool
+	// leaving makes callers open no further request on their connections.
+	leaving atomic.Bool
 	// idle gets a value when the last request in flight ends during Drain.
 	idle chan struct{}
 }
@@ -71,7 +81,9 @@
 // entryView is what the entry derives from one snapshot.
 type entryView struct {
 	table   *route.Table
-	budgets map[core.RouteName]*retry.Budget
+	budgets map[core.RouteName]core.RetryBudget
+	// services holds the budgets by service, which are used with a dialect.
+	services map[core.ServiceName]core.RetryBudget
 }
 
 // NewEntry returns an entry that takes requests at once.
@@ -119,6 +131,7 @@
 	c := &call{
 		entry:   e,
 		request: r,
+		began:   e.config.Clock.Now(),
 	}
 	c.reply.init(w)
 	defer c.end()
@@ -143,6 +156,7 @@
 		entry:     e,
 		request:   r,
 		isClaimed: true,
+		began:     e.config.Clock.Now(),
 	}
 	c.reply.init(w)
 	defer c.end()
@@ -162,6 +176,17 @@
 	}
 }
 
+// Leave asks callers to send no further request on their connections, while everything that
+// arrives is still served.
+func (e *Entry) Leave() {
+	e.leaving.Store(true)
+}
+
+// InFlight returns the number of requests inside the entry.
+func (e *Entry) InFlight() int {
+	return int(e.inFlight.Load())
+}
+
 // Drain refuses new work and returns when the last request in flight has ended, or the
 // error of ctx if that ends first.
 func (e *Entry) Drain(ctx context.Context) error {
@@ -189,24 +214,36 @@
 	last := e.view.Load()
 	// A request that got its snapshot just before a change waits here while another one
 	// builds the newer view.
-	if last != nil && (last.table.Snapshot() == snapshot || last.table.Snapshot().Version > snapshot.Version) {
+	if last != nil && (last.table.Snapshot() == snapshot || snapshot.IsBefore(last.table.Snapshot())) {
 		return last
 	}
-	view := newEntryView(snapshot, last, e.config.Clock.Now())
+	view := e.newView(snapshot, last, e.config.Clock.Now())
 	e.view.Store(view)
 	return view
 }
 
-// newEntryView keeps the retry budgets of routes that stay.
-func newEntryView(snapshot *core.Snapshot, last *entryView, now time.Time) *entryView {
+// newView keeps the retry budgets of routes and services that stay.
+func (e *Entry) newView(snapshot *core.Snapshot, last *entryView, now time.Time) *entryView {
 	view := &entryView{
-		table:   route.NewTable(snapshot),
-		budgets: make(map[core.RouteName]*retry.Budget, len(snapshot.Routes)),
+		table:    route.NewTable(snapshot),
+		budgets:  make(map[core.RouteName]core.RetryBudget, len(snapshot.Routes)),
+		services: make(map[core.ServiceName]core.RetryBudget, len(snapshot.Services)),
+	}
+	if last == nil {
+		last = &entryView{}
+	} else {
+		view.table.Inherit(last.table)
+	}
+	if e.config.NewBudget != nil {
+		for name := range snapshot.Services {
+			if view.services[name] = last.services[name]; view.services[name] == nil {
+				view.services[name] = e.config.NewBudget(name, now)
+			}
+		}
+		return view
 	}
 	for name := range snapshot.Routes {
-		if last != nil && last.budgets[name] != nil {
-			view.budgets[name] = last.budgets[name]
-		} else {
+		if view.budgets[name] = last.budgets[name]; view.budgets[name] == nil {
 			view.budgets[name] = retry.NewBudget(now)
 		}
 	}
--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -25,6 +25,7 @@
 	w                http.ResponseWriter
 	control          *http.ResponseController
 	bytes            int64
+	status           int
 	hasWriteDeadline bool
 }
 
@@ -51,9 +52,10 @@
 			delete(to, http.CanonicalHeaderKey(strings.TrimSpace(name)))
 		}
 	}
-	if c.entry.draining.Load() || c.stream != nil && !c.stream.complete() {
+	if c.isLast() {
 		c.reply.closeAfter()
 	}
+	c.reply.status = status
 	c.reply.w.WriteHeader(status)
 }
 
@@ -105,5 +107,10 @@
 	if !notRun && kind.Info().NotRun || kind.Info().Kind != kind {
 		kind = c.broken("").failure.Kind
 	}
-	return failed(kind, notRun, detail()), true
+	r := failed(kind, notRun, detail())
+	r.failure.Arrived = r.failure.Arrived || first(header, keyArrived) != ""
+	if ms, err := strconv.ParseInt(first(header, keyRetryAfter), 10, 32); err == nil && ms > 0 {
+		r.retryAfter = time.Duration(ms) * time.Millisecond
+	}
+	return r, true
 }
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -22,6 +22,7 @@
 	// isClaimed says that the gatekeeper of the own host owns the key of the request and has
 	// claimed it.
 	isClaimed bool
+	began     time.Time
 
 	// Set by prepare.
 	view        *entryView
@@ -31,10 +32,14 @@
 	homes       *route.Homes
 	idempotent  bool
 	// key is the idempotency key of a non-idempotent request, "" if it has none.
-	key      string
+	key string
+	// service is the one that the route, or the chosen part of it, leads to.
+	service  core.ServiceSpec
 	deadline time.Time
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// target is the time until which an answer is of full use to the caller.
+	target time.Time
+	ctx    context.Context
+	cancel context.CancelFunc
 	// A body is either kept or streamed, or there is none.
 	body   []byte
 	buffer *[]byte
@@ -49,6 +54,10 @@
 	// mayHaveRun is set once an attempt ended without certainty. From then on no answer of
 	// the entry claims that the request did not run.
 	mayHaveRun bool
+	// arrivals counts the attempts that an upstream may have got.
+	arrivals int
+	// retryAfter is the shortest time after which a gatekeeper expects room.
+	retryAfter time.Duration
 }
 
 // result is what one attempt came to.
@@ -56,17 +65,20 @@
 	// answered is true if the answer went to the caller.
 	answered bool
 	// final is true if another attempt cannot come to anything else.
-	final   bool
-	failure retry.Failure
-	detail  string
+	final bool
+	// retryAfter is when the gatekeeper expects room, 0 if it does not say.
+	retryAfter time.Duration
+	failure    retry.Failure
+	detail     string
 }
 
 // failed returns the result of an attempt without answer.
 func failed(kind core.Kind, notRun bool, detail string) result {
 	return result{
 		failure: retry.Failure{
-			Kind:   kind,
-			NotRun: notRun,
+			Kind:    kind,
+			NotRun:  notRun,
+			Arrived: !notRun,
 		},
 		detail: detail,
 	}
@@ -74,14 +86,15 @@
 
 // run makes attempts until one is answered or no other one makes sense.
 func (c *call) run() {
-	budget := c.view.budgets[c.route.Spec.Name]
-	budget.Request()
+	budget := c.budget()
+	budget.Request(c.began)
 	c.tried = c.triedOn[:0]
 	r := c.attempt()
 	for !r.answered {
 		if !r.failure.NotRun {
 			c.mayHaveRun = true
 		}
+		c.note(r)
 		wait, ok := c.next(r, budget)
 		if !ok || c.entry.config.Sleep(c.ctx, wait) != nil {
 			c.giveUp(r)
@@ -96,19 +109,60 @@
 }
 
 // next tells whether and when to try again.
-func (c *call) next(r result, budget *retry.Budget) (time.Duration, bool) {
+func (c *call) next(r result, budget core.RetryBudget) (time.Duration, bool) {
 	isWhole := c.stream == nil || c.stream.endAttempt()
 	if r.final || !isWhole || c.ctx.Err() != nil || !retry.Allowed(c.idempotent, r.failure) {
 		return 0, false
 	}
+	config := &c.entry.config
+	if config.Dialect != nil {
+		return c.nextUpstream(r, budget)
+	}
 	pace := retry.ElsewherePace
 	if c.key != "" {
 		pace = retry.OwnerPace
 	}
-	config := &c.entry.config
 	return pace.Next(config.Clock.Now(), c.deadline, c.attempts, budget, config.Random())
 }
 
+// budget returns the retry budget that the request belongs to.
+func (c *call) budget() core.RetryBudget {
+	if c.entry.config.NewBudget != nil {
+		return c.view.services[c.service.Name]
+	}
+	return c.view.budgets[c.route.Spec.Name]
+}
+
+// note keeps what an attempt without answer tells about the next one.
+func (c *call) note(r result) {
+	if r.failure.Arrived {
+		c.arrivals++
+	}
+	if r.retryAfter > 0 && (c.retryAfter == 0 || r.retryAfter < c.retryAfter) {
+		c.retryAfter = r.retryAfter
+	}
+	c.decide(core.DecisionSentBack, r)
+}
+
+// nextUpstream tells whether and when to try again where gatekeepers see all that reaches
+// their upstreams: only what an upstream may have got counts as a repeat.
+func (c *call) nextUpstream(r result, budget core.RetryBudget) (time.Duration, bool) {
+	config := &c.entry.config
+	now := config.Clock.Now()
+	if c.arrivals == 0 {
+		return retry.DeclinedPace.Free(now, c.deadline, c.attempts, config.Random())
+	}
+	if most := c.route.Spec.MaxAttempts; most > 0 && c.arrivals >= most || c.attempts >= retry.DeclinedPace.Attempts {
+		return 0, false
+	}
+	pace := retry.ElsewherePace
+	if !r.failure.Arrived {
+		// The repeat that was paid for has not reached an upstream yet.
+		return pace.Free(now, c.deadline, c.arrivals, config.Random())
+	}
+	return pace.Next(now, c.deadline, c.arrivals, budget, config.Random())
+}
+
 // refresh takes the newest configuration for another attempt, which may come seconds after
 // the first one: by then a zone may be out or the home regions others.
 func (c *call) refresh() (core.Kind, string) {
@@ -145,6 +199,8 @@
 	balancer := c.entry.balancer
 	defer balancer.Release(c.choice)
 	c.tried = append(c.tried, c.choice.Host.Name)
+	c.setAttempt()
+	c.decide(core.DecisionSent, result{})
 	c.header[keyTimeout] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
 	c.entry.Counters.Attempts.Add(1)
 	var r result
@@ -155,10 +211,42 @@
 	}
 	if !r.answered {
 		balancer.Refused(c.entry.config.Clock.Now(), c.choice, r.failure.Kind)
+		if c.choice.HasRoom && r.isFull() && c.entry.config.Dialect != nil {
+			// The guess was wrong; the request may still wait there if nobody has room.
+			c.tried = c.tried[:len(c.tried)-1]
+		}
 	}
 	return r
 }
 
+// isFull tells whether a gatekeeper had no room.
+func (r result) isFull() bool {
+	return !r.failure.Arrived && (r.failure.Kind == core.Overloaded || r.failure.Kind == core.Cold)
+}
+
+// setAttempt sets the headers that tell the gatekeeper how to treat this attempt.
+func (c *call) setAttempt() {
+	if c.entry.config.Dialect == nil {
+		return
+	}
+	c.header[keyService] = []string{string(c.service.Name)}
+	delete(c.header, keyNoWait)
+	if c.choice.HasRoom && c.attempts < mostGuesses {
+		c.header[keyNoWait] = noWaitText
+	}
+	delete(c.header, keyTarget)
+	if !c.target.IsZero() {
+		left := c.target.Sub(c.entry.config.Clock.Now())
+		c.header[keyTarget] = []string{strconv.FormatInt(max(left.Milliseconds(), 0), 10)}
+	}
+}
+
+// mostGuesses bounds the attempts at upstreams that only seem to have room; after them the
+// request rather waits than moves on.
+const mostGuesses = 4
+
+var noWaitText = []string{"true"}
+
 // choose sets the choice; not ok comes with the reason why there is none.
 func (c *call) choose() (result, bool) {
 	query := c.query()
@@ -174,7 +262,7 @@
 		c.choice, ok = balancer.Choose(now, query)
 	}
 	if !ok {
-		r := failed(core.NoUpstream, true, "no upstream of service "+string(c.route.Spec.Service)+" can take the request")
+		r := failed(core.NoUpstream, true, "no upstream of service "+string(c.service.Name)+" can take the request")
 		r.final = true
 		return r, false
 	}
@@ -199,10 +287,10 @@
 
 func (c *call) query() route.Query {
 	query := route.Query{
-		Service:  c.route.Service,
+		Service:  c.service,
 		Homes:    c.homes,
 		Snapshot: c.view.table.Snapshot(),
-		Members:  c.entry.config.Members.OfService(c.route.Spec.Service),
+		Members:  c.entry.config.Members.OfService(c.service.Name),
 		Tried:    c.tried,
 		Bytes:    c.headerBytes + int64(len(c.body)),
 	}
@@ -262,14 +350,28 @@
 	if c.stream != nil {
 		c.stream.shut(c.reply.control)
 	}
-	if c.entry.draining.Load() || c.stream != nil && !c.stream.complete() {
+	if c.isLast() {
 		c.reply.closeAfter()
 	}
 	if c.stream == nil && c.buffer == nil && c.request.ContentLength != 0 {
 		// The server reads the rest of a small body, for which a caller may take its time.
 		_ = c.reply.control.SetReadDeadline(time.Now().Add(headerTime))
 	}
-	Refuse(c.reply.w, kind, detail)
+	status := kind.Info().Status
+	if dialect := c.entry.config.Dialect; dialect != nil {
+		status = dialect.Refuse(c.reply.w.Header(), core.Refusal{
+			Kind:       kind,
+			RequestID:  dialect.RequestID(c.request.Header),
+			RetryAfter: c.retryAfter,
+		})
+	}
+	c.decideEnd(kind, status, detail)
+	refuseAs(c.reply.w, kind, status, detail)
+}
+
+// isLast tells whether the caller's connection ends with this answer.
+func (c *call) isLast() bool {
+	return c.entry.draining.Load() || c.entry.leaving.Load() || c.stream != nil && !c.stream.complete()
 }
 
 // end releases what the request holds. It also runs when the answer breaks off.
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -97,6 +97,9 @@
 		// An absent key would make http.Transport send its own.
 		to["User-Agent"] = nil
 	}
+	if c.entry.config.Dialect != nil {
+		c.entry.config.Dialect.Receive(to)
+	}
 	c.header = to
 	c.headerBytes = int64(size)
 	return "", ""
@@ -152,15 +155,17 @@
 	default:
 		return kind, fmt.Sprintf("no route for %s %s%s", query.Method, query.Host, query.Path)
 	}
-	if !match.Homes.Allows(c.entry.config.Self.Region) {
+	isRelay := c.entry.config.Dialect != nil
+	if !isRelay && !match.Homes.Allows(c.entry.config.Self.Region) {
 		return core.HomeRegion, fmt.Sprintf("region %s is not among the home regions %q of route %s",
 			c.entry.config.Self.Region, match.Homes, match.Route.Spec.Name)
 	}
 	c.route = match.Route
 	c.homes = match.Homes
 	c.idempotent = match.Route.Spec.Idempotent
+	c.service = c.view.table.Snapshot().Services[match.Route.Choose(c.service.Name)]
 	c.key = ""
-	if !c.idempotent && !c.isClaimed {
+	if !c.idempotent && !c.isClaimed && !isRelay {
 		c.key = first(request.Header, keyIdempotency)
 	}
 	c.setHeaders()
@@ -185,7 +190,15 @@
 // first.
 func (c *call) setDeadline() (core.Kind, string) {
 	timeout := time.Duration(c.route.Spec.Timeout)
-	if text := first(c.request.Header, keyTimeout); text != "" {
+	if dialect := c.entry.config.Dialect; dialect != nil {
+		wait, ok, err := dialect.Timeout(c.request.Header)
+		if err != nil {
+			return core.BadRequest, err.Error()
+		}
+		if ok {
+			timeout = min(timeout, wait)
+		}
+	} else if text := first(c.request.Header, keyTimeout); text != "" {
 		left, err := strconv.ParseInt(text, 10, 64)
 		if err != nil || left < 0 {
 			return core.BadRequest, HeaderTimeout + " is not a whole number from 0"
@@ -199,6 +212,9 @@
 		return core.DeadlineBeforeRun, "no time is left"
 	}
 	c.deadline = c.entry.config.Clock.Now().Add(timeout)
+	if target := time.Duration(c.route.Spec.LatencyTarget); target > 0 {
+		c.target = c.began.Add(min(target, timeout))
+	}
 	c.ctx, c.cancel = context.WithTimeout(c.request.Context(), timeout)
 	return "", ""
 }
--- a/io/proxy/entry_local.go
+++ b/io/proxy/entry_local.go
@@ -20,6 +20,7 @@
 		// Once the answer has begun the caller has to see that it broke off.
 		if w.begun && !w.refused {
 			c.entry.Counters.Aborted.Add(1)
+			c.decideCut()
 			panic(fault)
 		}
 		if fault != http.ErrAbortHandler { //nolint:errorlint // The server compares this panic value the same way.
@@ -45,6 +46,7 @@
 		}
 	}
 	c.entry.Counters.Answers.Add(1)
+	c.decideEnd("", c.reply.status, "")
 	return result{
 		answered: true,
 	}
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -271,6 +271,7 @@
 				c.reply.w.Header()[http.TrailerPrefix+name] = values
 			}
 			c.entry.Counters.Answers.Add(1)
+			c.decideEnd("", c.reply.status, "")
 			return
 		}
 		if err != nil {
@@ -283,6 +284,7 @@
 // complete.
 func (c *call) abort() {
 	c.entry.Counters.Aborted.Add(1)
+	c.decideCut()
 	panic(http.ErrAbortHandler)
 }
 
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,16 @@
 	// shorter than the upstream's own, since a request sent on a connection that the
 	// upstream closes at that moment has an unknown outcome.
 	IdleTimeout time.Duration
+	// Dialect is that of a platform whose upstreams register themselves. Optional; Upstream
+	// is needed with it. The gatekeeper then asks for the registered instance, and
+	// idempotency keys mean nothing.
+	Dialect core.Dialect
+	// Upstream returns what the platform knows of the upstream at UpstreamAddress.
+	Upstream func() (core.Member, bool)
+	// Dial connects to the upstream. Optional.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Decisions takes the decisions on requests. Optional.
+	Decisions core.DecisionLog
 }
 
 // Gate is the gatekeeper: the last daemon before an upstream. It admits requests to the
@@ -54,6 +65,10 @@
 
 	mu        sync.Mutex
 	admission *admit.Controller
+	// grantTimer fires when a waiting request may begin without another one ending.
+	grantTimer *time.Timer
+	// refusedUntil spares a request the wait for a connection that has just timed out.
+	refusedUntil time.Time
 
 	keys      gateKeys
 	transport gateTransport
@@ -74,6 +89,12 @@
 	if config.IdleTimeout <= 0 {
 		config.IdleTimeout = 4 * time.Second
 	}
+	if config.Dial == nil {
+		dialer := &net.Dialer{
+			Timeout: config.DialTimeout,
+		}
+		config.Dial = dialer.DialContext
+	}
 	g := &Gate{
 		config: config,
 		admission: admit.New(admit.Config{
@@ -81,6 +102,7 @@
 			QueueLength:  config.QueueLength,
 			MaxWait:      config.MaxQueueWait,
 			WatchLatency: config.WatchLatency,
+			IsRegistered: config.Upstream != nil,
 		}),
 		idle: make(chan struct{}, 1),
 	}
@@ -100,7 +122,7 @@
 		call.refuse(kind, detail)
 		return
 	}
-	if call.isKeyed() {
+	if g.config.Dialect == nil && call.isKeyed() {
 		call.serveKeyed()
 		return
 	}
@@ -141,6 +163,14 @@
 func (g *Gate) Load() (inFlight, limit int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return g.load(g.config.Clock.Now())
+}
+
+// load returns what other daemons are to know. The caller holds the mutex.
+func (g *Gate) load(now time.Time) (inFlight, limit int) {
+	if g.config.Upstream != nil {
+		return g.admission.Load(now)
+	}
 	return g.admission.InFlight(), g.admission.Limit()
 }
 
--- a/io/proxy/gate_answer.go
+++ b/io/proxy/gate_answer.go
@@ -18,9 +18,19 @@
 	if c.recorder != nil {
 		c.recorder.begin(response.StatusCode, gateCopyHeader(http.Header{}, response.Header, gateNotForCaller))
 	}
+	kept, kind, detail := c.keep(response)
+	if kind != "" {
+		return kind, detail
+	}
 	c.wroteHeader = true
 	c.writer.WriteHeader(response.StatusCode)
-	readErr, writeErr := c.copyAnswer(response)
+	var readErr, writeErr error
+	if kept != nil {
+		_, writeErr = c.writer.Write(*kept)
+		smallBuffers.put(kept)
+	} else {
+		readErr, writeErr = c.copyAnswer(response)
+	}
 	switch {
 	case readErr == nil && writeErr == nil:
 		for name, values := range response.Trailer {
@@ -42,6 +52,33 @@
 	return c.lostKind(true), "the answer broke off: " + readErr.Error()
 }
 
+// keep reads a small answer whole before any of it is passed on, so that one that breaks off
+// ends in a refusal, after which the entry can ask another upstream. It returns nil for
+// answers that are streamed.
+func (c *gateCall) keep(response *http.Response) (*[]byte, core.Kind, string) {
+	length := response.ContentLength
+	if c.gate.config.Dialect == nil || length < 0 || length > smallBodyBytes || c.request.Method == http.MethodHead {
+		return nil, "", ""
+	}
+	buffer := smallBuffers.get()
+	piece := (*buffer)[:length]
+	if _, err := io.ReadFull(response.Body, piece); err != nil {
+		smallBuffers.put(buffer)
+		header := c.writer.Header()
+		clear(header)
+		if c.isAbandoned() {
+			return nil, core.Canceled, "the caller went away during the answer"
+		}
+		if !c.gate.config.Clock.Now().Before(c.admitted.Deadline) {
+			return nil, core.DeadlineInRun, "the deadline passed during the answer"
+		}
+		c.report(admit.SignalReset, "")
+		return nil, c.lostKind(true), "the answer broke off: " + err.Error()
+	}
+	*buffer = piece
+	return buffer, "", ""
+}
+
 // copyAnswer streams the body. An answer of unknown length is flushed after each read, since
 // it may be a stream of single messages.
 func (c *gateCall) copyAnswer(response *http.Response) (readErr, writeErr error) {
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -40,6 +40,12 @@
 	// inFlight and limit are the load that the answer reports.
 	inFlight int
 	limit    int
+	began    time.Time
+	// instance is the process that the request is for, empty if the platform names none.
+	instance string
+	// arrived says that the upstream may have got the request.
+	arrived    bool
+	retryAfter time.Duration
 	// key has an empty text if the request has no idempotency key.
 	key       dedup.Key
 	joined    chan dedup.Decision
@@ -57,6 +63,7 @@
 		gate:    g,
 		writer:  w,
 		request: r,
+		began:   g.config.Clock.Now(),
 	}
 	version, err := gateNumber(r.Header, keyVersion, 0)
 	if err != nil {
@@ -96,7 +103,16 @@
 	if left < uint64(timeout.Milliseconds()) {
 		timeout = time.Duration(left) * time.Millisecond
 	}
-	call.admitted.Deadline = g.config.Clock.Now().Add(timeout)
+	call.admitted.Deadline = call.began.Add(timeout)
+	call.admitted.Service = core.ServiceName(first(r.Header, keyService))
+	call.admitted.NoWait = first(r.Header, keyNoWait) != ""
+	if first(r.Header, keyTarget) != "" {
+		target, targetErr := gateNumber(r.Header, keyTarget, 0)
+		if targetErr != nil {
+			return call, core.BadRequest, HeaderTarget + " is not a number"
+		}
+		call.admitted.Target = call.began.Add(time.Duration(target) * time.Millisecond)
+	}
 	return call, "", ""
 }
 
@@ -120,13 +136,20 @@
 func (c *gateCall) admit() (core.Kind, string) {
 	g := c.gate
 	g.mu.Lock()
-	g.wake(g.admission.Configure(g.config.Clock.Now(), c.snapshot))
-	decision := g.admission.Offer(g.config.Clock.Now(), c.admitted, &c.ticket)
+	now := g.config.Clock.Now()
+	g.configure(now, c.snapshot)
+	if now.Before(g.refusedUntil) {
+		g.mu.Unlock()
+		return core.NoUpstream, "the upstream did not take a connection just now"
+	}
+	decision := g.admission.Offer(now, c.admitted, &c.ticket)
 	if decision.Wait {
 		c.ticket.Owner = c
 		c.wake = make(chan admit.Wake, 1)
 	}
-	c.inFlight, c.limit = g.admission.InFlight(), g.admission.Limit()
+	c.inFlight, c.limit = g.load(now)
+	c.retryAfter = decision.RetryAfter
+	g.schedule(now)
 	g.mu.Unlock()
 	if decision.Wait {
 		return c.await(decision.GiveUp)
@@ -177,6 +200,51 @@
 	return "", ""
 }
 
+// configure puts the configuration and the record of the upstream in force. The caller holds
+// the mutex.
+func (g *Gate) configure(now time.Time, snapshot *core.Snapshot) {
+	if snapshot != nil {
+		g.wake(g.admission.Configure(now, snapshot))
+	}
+	if g.config.Upstream == nil {
+		return
+	}
+	member, ok := g.config.Upstream()
+	if !ok {
+		g.wake(g.admission.Adopt(now, nil))
+		return
+	}
+	upstream := admit.UpstreamOf(member)
+	g.wake(g.admission.Adopt(now, &upstream))
+}
+
+// schedule sets the timer for a waiting request that may begin without another one ending.
+// The caller holds the mutex.
+func (g *Gate) schedule(now time.Time) {
+	at := g.admission.NextGrant(now)
+	if at.IsZero() || g.grantTimer != nil {
+		return
+	}
+	g.grantTimer = time.AfterFunc(at.Sub(now), func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.grantTimer = nil
+		later := g.config.Clock.Now()
+		g.wake(g.admission.Grant(later))
+		g.schedule(later)
+	})
+}
+
+// Refresh lets waiting requests learn of a change of the configuration or of the upstream.
+func (g *Gate) Refresh() {
+	snapshot, _ := g.config.Config.Snapshot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.config.Clock.Now()
+	g.configure(now, snapshot)
+	g.schedule(now)
+}
+
 // wake passes decisions on to waiting calls. The caller holds the mutex.
 func (g *Gate) wake(wakes []admit.Wake) {
 	for _, wake := range wakes {
@@ -189,10 +257,9 @@
 	snapshot, _ := g.config.Config.Snapshot()
 	g.mu.Lock()
 	now := g.config.Clock.Now()
-	if snapshot != nil {
-		g.wake(g.admission.Configure(now, snapshot))
-	}
+	g.configure(now, snapshot)
 	g.wake(g.admission.Finish(now, ticket, success))
+	g.schedule(now)
 	change, isChanged := g.admission.RampChange()
 	g.mu.Unlock()
 	if isChanged {
@@ -204,8 +271,13 @@
 func (c *gateCall) report(signal admit.Signal, bootID string) {
 	g := c.gate
 	g.mu.Lock()
-	g.admission.Report(g.config.Clock.Now(), &c.ticket, signal, bootID)
-	c.inFlight, c.limit = g.admission.InFlight(), g.admission.Limit()
+	now := g.config.Clock.Now()
+	g.admission.Report(now, &c.ticket, signal, bootID)
+	if signal == admit.SignalRefused && g.config.Upstream != nil {
+		g.refusedUntil = now.Add(refusedPause)
+		g.admission.DoubtUntil(now.Add(time.Duration(c.snapshot.Services[c.admitted.Service].WarmUp)))
+	}
+	c.inFlight, c.limit = g.load(now)
 	change, isChanged := g.admission.RampChange()
 	g.mu.Unlock()
 	if isChanged {
@@ -213,6 +285,10 @@
 	}
 }
 
+// refusedPause is how long the gatekeeper does not try to connect after a failure. It is
+// short against the seconds in which an upstream starts.
+const refusedPause = 100 * time.Millisecond
+
 // refuse answers with an error kind, or aborts the answer that has begun.
 func (c *gateCall) refuse(kind core.Kind, detail string) {
 	g := c.gate
@@ -222,12 +298,52 @@
 	g.counters.Refused.Add(string(kind), 1)
 	g.refusals.add(kind)
 	if c.wroteHeader {
+		c.decide(core.DecisionCut, kind, detail)
 		panic(http.ErrAbortHandler)
 	}
 	c.setOwnHeaders(c.writer.Header())
+	if c.arrived {
+		c.writer.Header()[keyArrived] = arrivedText
+	}
+	if c.retryAfter > 0 {
+		c.writer.Header()[keyRetryAfter] = []string{strconv.FormatInt(c.retryAfter.Milliseconds()+1, 10)}
+	}
+	c.decide(core.DecisionDeclined, kind, detail)
 	Refuse(c.writer, kind, detail)
 }
 
+var arrivedText = []string{"true"}
+
+// decide logs a decision of the gatekeeper.
+func (c *gateCall) decide(kind core.DecisionKind, err core.Kind, detail string) {
+	log := c.gate.config.Decisions
+	if log == nil {
+		return
+	}
+	now := c.gate.config.Clock.Now()
+	decision := core.Decision{
+		Kind:       kind,
+		Route:      c.admitted.Route,
+		Service:    c.admitted.Service,
+		Host:       c.gate.config.Self.Name,
+		Instance:   c.instance,
+		InFlight:   c.inFlight,
+		Limit:      c.limit,
+		Elapsed:    now.Sub(c.began),
+		Left:       c.admitted.Deadline.Sub(now),
+		Error:      err,
+		RetryAfter: c.retryAfter,
+		Detail:     detail,
+	}
+	if c.gate.config.Dialect != nil {
+		decision.RequestID = c.gate.config.Dialect.RequestID(c.request.Header)
+	}
+	if c.snapshot != nil {
+		decision.Version, decision.Revision = c.snapshot.Version, c.snapshot.Revision
+	}
+	log.Decide(decision)
+}
+
 // setOwnHeaders adds what every answer of a gatekeeper tells the entry.
 func (c *gateCall) setOwnHeaders(header http.Header) {
 	load := make([]byte, 0, 16)
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"verbenaway/core"
 	"verbenaway/core/admit"
@@ -53,8 +54,12 @@
 		defer context.AfterFunc(ctx, c.body.interrupt)()
 		defer c.body.release()
 	}
+	if kind, detail := c.identify(); kind != "" {
+		return kind, detail
+	}
 	trace := &gateTrace{}
 	c.outcome = gateUnknown
+	c.decide(core.DecisionAdmitted, "", "")
 	response, err := transport.RoundTrip(c.upstreamRequest(ctx, trace))
 	if trace.isReplayed() {
 		c.gate.counters.Replayed.Add(1)
@@ -66,6 +71,11 @@
 	defer func() {
 		_ = response.Body.Close()
 	}()
+	if c.gate.config.Dialect != nil {
+		if kind, detail := c.examine(response, trace); kind != "" {
+			return kind, detail
+		}
+	}
 	bootID := first(response.Header, keyBootID)
 	if first(response.Header, keyShed) != "" {
 		c.report(admit.SignalShed, bootID)
@@ -81,6 +91,39 @@
 	return c.answer(response)
 }
 
+// identify notes the process that is registered now: while the request waited, another one
+// may have taken the address.
+func (c *gateCall) identify() (core.Kind, string) {
+	if c.gate.config.Upstream == nil {
+		return "", ""
+	}
+	member, ok := c.gate.config.Upstream()
+	if !ok || member.Host.Service != c.admitted.Service {
+		return core.NoUpstream, "the upstream is no longer registered"
+	}
+	c.instance = member.Host.Instance
+	return "", ""
+}
+
+// examine applies the dialect of the platform to an answer. It returns a kind if the answer
+// is not passed on.
+func (c *gateCall) examine(response *http.Response, trace *gateTrace) (core.Kind, string) {
+	c.arrived = true
+	found := c.gate.config.Dialect.Examine(c.request.Header, response.StatusCode, response.Header)
+	switch {
+	case found.IsForeign:
+		// More answers that nobody asked for may follow on the connection.
+		trace.closeConn()
+		c.report(admit.SignalReset, "")
+		return c.lostKind(true), found.Detail
+	case found.IsNotRun:
+		gateDiscard(response.Body)
+		c.outcome = gateNotRun
+		return found.Kind, found.Detail
+	}
+	return "", ""
+}
+
 // upstreamRequest returns the request as the upstream gets it.
 func (c *gateCall) upstreamRequest(ctx context.Context, trace *gateTrace) *http.Request {
 	request := &http.Request{
@@ -103,12 +146,18 @@
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		left := deadline.Sub(c.gate.config.Clock.Now()).Milliseconds()
-		request.Header[keyTimeout] = []string{strconv.FormatInt(max(left, 1), 10)}
+		if dialect := c.gate.config.Dialect; dialect != nil {
+			delete(request.Header, keyTimeout)
+			dialect.Ask(request.Header, c.instance, time.Duration(max(left, 1))*time.Millisecond)
+		} else {
+			request.Header[keyTimeout] = []string{strconv.FormatInt(max(left, 1), 10)}
+		}
 	}
 	if c.body != nil {
 		request.Body = c.body
 	}
-	if !c.route.Idempotent {
+	// A replay would be a repeat that the entry has no budget for.
+	if !c.route.Idempotent || c.gate.config.Dialect != nil {
 		gateForbidReplay(request)
 	}
 	return request.WithContext(httptrace.WithClientTrace(ctx, trace.hooks()))
@@ -134,6 +183,7 @@
 // run; any other may have.
 func (c *gateCall) failed(ctx context.Context, err error, trace *gateTrace) (core.Kind, string) {
 	isSent := trace.isSent()
+	c.arrived = isSent
 	if !isSent {
 		c.outcome = gateNotRun
 	}
--- a/io/proxy/gate_transport.go
+++ b/io/proxy/gate_transport.go
@@ -34,7 +34,13 @@
 
 // of returns the transport with the connections that the snapshot allows.
 func (t *gateTransport) of(snapshot *core.Snapshot) (*http.Transport, error) {
-	limit := snapshot.Services[t.config.Self.Service].Connections
+	service := t.config.Self.Service
+	if t.config.Upstream != nil {
+		if member, ok := t.config.Upstream(); ok {
+			service = member.Host.Service
+		}
+	}
+	limit := snapshot.Services[service].Connections
 	current := t.current.Load()
 	if current != nil && current.limit == limit {
 		return current.transport, nil
@@ -52,12 +58,9 @@
 	if current != nil && current.limit == limit {
 		return current.transport, nil
 	}
-	dialer := &net.Dialer{
-		Timeout: t.config.DialTimeout,
-	}
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := t.config.Dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -181,6 +184,15 @@
 	}
 }
 
+// closeConn ends the connection of the latest attempt.
+func (t *gateTrace) closeConn() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		_ = t.conn.Close()
+	}
+}
+
 // isConnected tells whether any attempt got a connection.
 func (t *gateTrace) isConnected() bool {
 	t.mu.Lock()
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -20,6 +20,16 @@
 	// HeaderClaimed is set by the owner of an idempotency key on a request that it has claimed
 	// and that another upstream is to run.
 	HeaderClaimed = "Verbenaway-Claimed"
+	// HeaderService is the service that the entry chose among the parts of a divided route.
+	HeaderService = "Verbenaway-Service"
+	// HeaderTarget is the time left until the latency target, in whole milliseconds.
+	HeaderTarget = "Verbenaway-TargetMs"
+	// HeaderNoWait asks for a refusal rather than a wait, because other upstreams have room.
+	HeaderNoWait = "Verbenaway-NoWait"
+	// HeaderArrived in a refusal says that the upstream got the request.
+	HeaderArrived = "Verbenaway-Arrived"
+	// HeaderRetryAfter in a refusal is when room is expected, in whole milliseconds.
+	HeaderRetryAfter = "Verbenaway-RetryAfterMs"
 	// HeaderLoad in an answer is "inFlight/limit" of the upstream that gave it.
 	HeaderLoad = "Verbenaway-Load"
 	// HeaderError in an answer is the error kind of a refusal.
@@ -36,6 +46,11 @@
 // The canonical forms of the headers, for direct access to a header map. Get and Set would
 // convert the names each time.
 var (
+	keyArrived     = http.CanonicalHeaderKey(HeaderArrived)
+	keyNoWait      = http.CanonicalHeaderKey(HeaderNoWait)
+	keyRetryAfter  = http.CanonicalHeaderKey(HeaderRetryAfter)
+	keyService     = http.CanonicalHeaderKey(HeaderService)
+	keyTarget      = http.CanonicalHeaderKey(HeaderTarget)
 	keyBootID      = http.CanonicalHeaderKey(HeaderBootID)
 	keyClaimed     = http.CanonicalHeaderKey(HeaderClaimed)
 	keyDepth       = http.CanonicalHeaderKey(HeaderDepth)
@@ -90,4 +105,9 @@
 	HeaderHomeRegions,
 	HeaderSender,
 	HeaderClaimed,
+	HeaderService,
+	HeaderTarget,
+	HeaderNoWait,
+	HeaderArrived,
+	HeaderRetryAfter,
 }
--- /dev/null
+++ b/io/store/fetcher.go
@@ -0,0 +1,97 @@
+package store
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"verbenaway/core"
+)
+
+// Fetcher reads from a store over HTTP and gives failures their kinds. It is safe for
+// concurrent use.
+type Fetcher struct {
+	config Config
+	http   *http.Client
+	base   *sling.Sling
+}
+
+// NewFetcher returns a fetcher; it connects on first use.
+func NewFetcher(config Config) Fetcher {
+	if config.Timeout == 0 {
+		config.Timeout = defaultTimeout
+	}
+	if config.Dial == nil {
+		dialer := net.Dialer{
+			Timeout: config.Timeout,
+		}
+		config.Dial = dialer.DialContext
+	}
+	client := &http.Client{
+		Transport: &http.Transport{
+			DialContext:         config.Dial,
+			MaxIdleConnsPerHost: 4,
+			IdleConnTimeout:     90 * time.Second,
+		},
+	}
+	return Fetcher{
+		config: config,
+		http:   client,
+		base:   sling.New().Client(client).Base(config.Address),
+	}
+}
+
+// Get returns the body of a 200, 204 or 404 answer; every other outcome is an error.
+func (f *Fetcher) Get(ctx context.Context, path string, query any, wait time.Duration) ([]byte, int, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout+wait)
+	defer cancel()
+	builder := f.base.New().Get(path)
+	if query != nil {
+		builder = builder.QueryStruct(query)
+	}
+	request, err := builder.Request()
+	if err != nil {
+		return nil, 0, core.Errorf(core.StoreMalformed, "%s: %v", path, err)
+	}
+	response, err := f.http.Do(request.WithContext(ctx))
+	if err != nil {
+		return nil, 0, core.Errorf(core.StoreDown, "%s: %v", path, withoutURL(err))
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return nil, 0, core.Errorf(core.StoreDown, "%s: %v", path, err)
+	}
+	switch {
+	case len(body) > maxAnswerBytes:
+		return nil, 0, core.Errorf(core.StoreMalformed, "%s: answer of more than %d bytes", path, maxAnswerBytes)
+	case response.StatusCode == http.StatusGone:
+		return nil, 0, core.Errorf(core.StoreCompacted, "%s: the history is no longer there", path)
+	case response.StatusCode == http.StatusTooManyRequests:
+		return nil, 0, core.Errorf(core.StoreBusy, "%s: over the rate", path)
+	case response.StatusCode >= http.StatusInternalServerError:
+		return nil, 0, core.Errorf(core.StoreDown, "%s: status %d", path, response.StatusCode)
+	case response.StatusCode == http.StatusOK, response.StatusCode == http.StatusNoContent,
+		response.StatusCode == http.StatusNotFound:
+		return body, response.StatusCode, nil
+	}
+	return nil, 0, core.Errorf(core.StoreMalformed, "%s: unexpected status %d", path, response.StatusCode)
+}
+
+// withoutURL drops the URL that net/http puts before the cause.
+func withoutURL(err error) error {
+	if wrapped, ok := err.(*url.Error); ok { //nolint:errorlint // the outermost error is wanted
+		return wrapped.Err
+	}
+	return err
+}
+
+// Close ends idle connections.
+func (f *Fetcher) Close() {
+	f.http.CloseIdleConnections()
+}
