Choose upstreams by expected time, way, load and failures; fewer store calls

Cause: the tiers of the balancer knew neither slow nor failing upstreams, and each daemon made a store call every two seconds and for every single change. Change: with a dialect the entry takes the upstream with the least cost; the gatekeeper reports how long requests of the route take and what share failed; watches are parked for 20 s, watched over by cheap stale reads, and changes share calls.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -111,7 +111,9 @@
 	doubtUntil time.Time
 	pace       pace
 	holds      holds
-	wakes      []Wake
+	// lastRank is the highest rank of the requests that the upstream may get.
+	lastRank int
+	wakes    []Wake
 }
 
 // New returns a controller that assumes a cold upstream.
@@ -137,6 +139,7 @@
 	c.snapshot = snapshot
 	c.service = snapshot.Services[c.serviceName()]
 	c.ramp.configure(c.service)
+	c.lastRank = lastRankOf(snapshot, c.serviceName())
 	c.holds.keep(snapshot.Routes)
 	c.limits.configure(now, snapshot)
 	c.refuseWaiting(func(ticket *Ticket) (core.Kind, string) {
@@ -245,6 +248,7 @@
 	}
 	ticket.state = ticketDone
 	c.inFlight--
+	c.holds.count(!success)
 	if success {
 		c.holds.observe(ticket.request.Route, now.Sub(ticket.begun))
 	}
@@ -336,8 +340,48 @@
 		}
 		return c.waiting() < length
 	}
-	expected := c.expectedWait(now, ticket.rank) + c.holds.of(request.Route)
-	return !now.Add(expected).After(request.Target)
+	hold := time.Duration(holdMargin * float64(c.holds.of(request.Route)))
+	expected := c.expectedWait(now, ticket.rank) + hold
+	return !now.Add(expected).After(c.latest(now, ticket))
+}
+
+// holdMargin is how much longer than usual a request may take and still be answered in time
+// after its wait; in an overload a longer queue would make most answers late.
+const holdMargin = 1.5
+
+// urgentPatience is the share of the time left that requests may take behind which others of
+// the service rank. They wait at the head of the queue, and refusing one rather than answering
+// it late may make the work of a caller in vain that itself holds a slot elsewhere.
+const urgentPatience = 0.7
+
+// latest returns when a request has to be answered for its wait to make sense.
+func (c *Controller) latest(now time.Time, ticket *Ticket) time.Time {
+	target := ticket.request.Target
+	if ticket.rank >= c.lastRank {
+		return target
+	}
+	left := time.Duration(urgentPatience * float64(ticket.request.Deadline.Sub(now)))
+	if patient := now.Add(left); patient.After(target) {
+		return patient
+	}
+	return target
+}
+
+// lastRankOf returns the highest rank of the routes that lead to a service.
+func lastRankOf(snapshot *core.Snapshot, service core.ServiceName) int {
+	last := 0
+	for _, route := range snapshot.Routes {
+		if leadsTo(route, service) {
+			last = max(last, rankOf(route))
+		}
+	}
+	return last
+}
+
+func leadsTo(route core.RouteSpec, service core.ServiceName) bool {
+	return route.Service == service || slices.ContainsFunc(route.Split, func(part core.SplitSpec) bool {
+		return part.Service == service
+	})
 }
 
 // expectedWait estimates when a new request of a rank would begin.
@@ -390,18 +434,13 @@
 	}
 }
 
-// giveUpAt returns the time at which waiting stops to make sense. The estimate of a wait that
-// was accepted may be short by half.
+// giveUpAt returns the time at which waiting stops to make sense. A request that was accepted
+// because it would be answered in time is rather answered late than refused late.
 func (c *Controller) giveUpAt(now time.Time, ticket *Ticket) time.Time {
 	if ticket.request.Target.IsZero() {
 		return now.Add(c.config.MaxWait)
 	}
-	latest := ticket.request.Target.Add(-c.holds.of(ticket.request.Route))
-	expected := now.Add(2 * c.expectedWait(now, ticket.rank))
-	if expected.After(latest) {
-		return expected
-	}
-	return latest
+	return ticket.request.Deadline.Add(-c.holds.of(ticket.request.Route))
 }
 
 func (c *Controller) waiting() int {
--- a/core/admit/holds.go
+++ b/core/admit/holds.go
@@ -14,11 +14,21 @@
 type holds struct {
 	all    time.Duration
 	routes map[core.RouteName]time.Duration
+	// failures is the share of the latest requests that came to nothing.
+	failures float64
 }
 
 func (h *holds) reset() {
-	h.all = 0
-	h.routes = nil
+	*h = holds{}
+}
+
+// count notes whether a request came to nothing.
+func (h *holds) count(failed bool) {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	h.failures += holdWeight * (value - h.failures)
 }
 
 // observe notes the time of a finished request.
--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -51,6 +51,7 @@
 		return nil
 	}
 	c.service = c.snapshot.Services[c.serviceName()]
+	c.lastRank = lastRankOf(c.snapshot, c.serviceName())
 	c.refuseWaiting(func(ticket *Ticket) (core.Kind, string) {
 		_, kind, detail := c.check(&ticket.request)
 		return kind, detail
@@ -95,9 +96,10 @@
 	return now.Before(c.upstream.ColdUntil) || now.Before(c.doubtUntil)
 }
 
-// coldHeadroom is the share of the rate of a cold start that is used. Requests that are
-// delayed on the way may reach the upstream closer together than they were admitted.
-const coldHeadroom = 1.0
+// coldHeadroom is the multiple of the rate of a cold start that is used. The platform allows
+// 1.5 times the rate and a few requests more; the rest is for requests that reach the upstream
+// closer together than they were admitted.
+const coldHeadroom = 1.4
 
 // coldPerSecond returns how many requests may begin within a second of a cold start.
 func (c *Controller) coldPerSecond() int {
@@ -135,3 +137,9 @@
 	}
 	return inFlight, limit
 }
+
+// Hold returns how long a request of a route occupies a slot, and the share of the latest
+// requests that came to nothing.
+func (c *Controller) Hold(route core.RouteName) (held time.Duration, failures float64) {
+	return c.holds.of(route), c.holds.failures
+}
--- a/core/registry.go
+++ b/core/registry.go
@@ -11,6 +11,8 @@
 type Registry interface {
 	// List returns everything that the store holds.
 	List(ctx context.Context) (RegistryListing, error)
+	// Revision returns the revision of the store as of a cheap read that may be seconds old.
+	Revision(ctx context.Context) (uint64, error)
 	// Watch returns the changes after a revision, or none after the wait.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (RegistryChanges, error)
 }
--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -58,7 +58,10 @@
 
 // Query describes one attempt.
 type Query struct {
-	Service  core.ServiceSpec
+	Service core.ServiceSpec
+	// Route and Target are used by ChooseByCost; Target is the latency target.
+	Route    core.RouteName
+	Target   time.Duration
 	Homes    *Homes
 	Snapshot *core.Snapshot
 	// Members of the service. The caller passes the same slice while they do not change.
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -55,6 +56,11 @@
 	// passedUntil is the end of the last pass-over in Unix nanoseconds, 0 if none.
 	passedUntil atomic.Int64
 	refusals    atomic.Int32
+	// failures holds the bits of the share of requests that came to nothing.
+	failures atomic.Uint64
+	// mu guards holds.
+	mu    sync.Mutex
+	holds map[core.RouteName]hold
 }
 
 // report notes the load in an answer.
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -12,10 +12,17 @@
 )
 
 const (
-	// DefaultWatchWait is how long a watch is parked. A connection that went silent is
-	// noticed after this time and the client's time limit together, which has to stay below
-	// the times in which zones and upstreams have to be left.
-	DefaultWatchWait = 2 * time.Second
+	// DefaultWatchWait is how long a watch is parked. The platform counts each call, and the
+	// pulse notices a silent connection long before the wait ends.
+	DefaultWatchWait = 20 * time.Second
+	// watchGap is the least time between the answers of two watches, so that changes in quick
+	// succession share a call. It is small against the two seconds within which a zone or an
+	// upstream has to be left.
+	watchGap = 500 * time.Millisecond
+	// pulseInterval spaces the cheap stale reads that show whether the watch is still served.
+	// Two of them and a read have to fit between the end of a disruption and the time from
+	// which the bounds hold again.
+	pulseInterval = 1 * time.Second
 	// firstBackoff and longestBackoff bound the pause after a failed call. The longest is
 	// small against the seconds within which a change has to be in force.
 	firstBackoff   = 50 * time.Millisecond
@@ -40,6 +47,7 @@
 // Counters count what a Follower did since it began.
 type Counters struct {
 	Lists    atomic.Int64
+	Pulses   atomic.Int64
 	Watches  atomic.Int64
 	Failures atomic.Int64
 	// ContactAt is the time of the last answer of the store in Unix nanoseconds.
@@ -62,9 +70,15 @@
 	// interrupt ends the current watch; nil between watches.
 	interrupt context.CancelFunc
 	wantsList bool
+	// wantsWatch says that the current watch was ended because it seemed to be silent.
+	wantsWatch bool
+	watchedAt  time.Time
+	// behind is the revision that a pulse showed and the watch has not delivered, 0 if none.
+	behind uint64
 
-	cancel context.CancelFunc
-	done   chan struct{}
+	cancel   context.CancelFunc
+	done     chan struct{}
+	beatDone chan struct{}
 }
 
 // New returns a follower that knows nothing until Start.
@@ -73,9 +87,10 @@
 		config.WatchWait = DefaultWatchWait
 	}
 	f := &Follower{
-		config: config,
-		state:  follow.New(config.State),
-		done:   make(chan struct{}),
+		config:   config,
+		state:    follow.New(config.State),
+		done:     make(chan struct{}),
+		beatDone: make(chan struct{}),
 	}
 	f.view.Store(&follow.View{})
 	return f
@@ -91,6 +106,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	go f.run(ctx)
+	go f.beat(ctx)
 	return nil
 }
 
@@ -98,6 +114,7 @@
 func (f *Follower) Stop(context.Context) error {
 	f.cancel()
 	<-f.done
+	<-f.beatDone
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.expiry != nil {
@@ -127,7 +144,7 @@
 		case core.KindOf(err) == core.StoreCompacted:
 			isComplete = false
 			continue
-		case f.hasWish():
+		case f.takeInterrupt():
 			continue
 		}
 		f.failed(err)
@@ -150,6 +167,10 @@
 		})
 		return nil
 	}
+	f.mu.Lock()
+	rest := watchGap - f.config.Clock.Now().Sub(f.watchedAt)
+	f.mu.Unlock()
+	pause(ctx, rest)
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
@@ -165,11 +186,53 @@
 		return err
 	}
 	f.update(func(now time.Time) {
+		f.watchedAt = now
 		f.state.Watch(now, changes)
 	})
 	return nil
 }
 
+// beat asks for the revision of the store from time to time. A watch that does not deliver
+// what two pulses in a row have shown is given up.
+func (f *Follower) beat(ctx context.Context) {
+	defer close(f.beatDone)
+	for ctx.Err() == nil {
+		pause(ctx, pulseInterval*3/4+rand.N(pulseInterval/2))
+		f.mu.Lock()
+		isWatching := f.interrupt != nil
+		f.mu.Unlock()
+		if !isWatching || ctx.Err() != nil {
+			continue
+		}
+		f.Counters.Pulses.Add(1)
+		revision, err := f.config.Registry.Revision(ctx)
+		if err != nil {
+			if ctx.Err() == nil {
+				f.failed(err)
+			}
+			continue
+		}
+		f.pulse(revision)
+	}
+}
+
+// pulse compares the revision of a stale read with the watch.
+func (f *Follower) pulse(revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.state.Revision()
+	isSilent := f.behind > known || f.isLost
+	f.behind = 0
+	if revision > known {
+		f.behind = revision
+	}
+	// After an outage the watch that was parked through it may never answer.
+	if isSilent && f.interrupt != nil {
+		f.wantsWatch = true
+		f.interrupt()
+	}
+}
+
 // update applies an answer of the store and publishes the view.
 func (f *Follower) update(apply func(now time.Time)) {
 	f.mu.Lock()
@@ -286,10 +349,13 @@
 	return wish
 }
 
-func (f *Follower) hasWish() bool {
+// takeInterrupt tells whether the last watch was ended from here.
+func (f *Follower) takeInterrupt() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.wantsList
+	isEnded := f.wantsList || f.wantsWatch
+	f.wantsWatch = false
+	return isEnded
 }
 
 // Self implements core.MemberView.
@@ -329,6 +395,9 @@
 }
 
 func pause(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/io/logs/writer.go
+++ b/io/logs/writer.go
@@ -196,9 +196,11 @@
 	for name, value := range w.config.Fields {
 		fields[name] = value
 	}
-	entry := log.NewEntry(w.logger).WithFields(fields)
-	entry.Timestamp = at
-	entry.Level = log.InfoLevel
-	entry.Message = message
-	_ = w.logger.Handler.HandleLog(entry)
+	_ = w.logger.Handler.HandleLog(&log.Entry{
+		Logger:    w.logger,
+		Fields:    fields,
+		Level:     log.InfoLevel,
+		Timestamp: at,
+		Message:   message,
+	})
 }
--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"verbenaway/core"
+	"verbenaway/core/route"
 )
 
 // notAnswered holds the headers of an answer that end at the entry, by canonical name.
@@ -81,14 +82,7 @@
 
 // learn takes load and version from the headers of an answer.
 func (c *call) learn(header http.Header) {
-	if load := first(header, keyLoad); load != "" {
-		inFlight, limit, _ := strings.Cut(load, "/")
-		n, err1 := strconv.Atoi(inFlight)
-		m, err2 := strconv.Atoi(limit)
-		if err1 == nil && err2 == nil && n >= 0 && m >= 0 {
-			c.entry.balancer.Report(c.entry.config.Clock.Now(), c.choice, n, m)
-		}
-	}
+	c.learnLoad(first(header, keyLoad))
 	if text := first(header, keyVersion); text != "" && text != c.view.table.Version() {
 		if version, err := strconv.ParseUint(text, 10, 64); err == nil {
 			c.entry.config.Config.Observe(c.choice.Host.Name, core.Version(version))
@@ -96,6 +90,32 @@
 	}
 }
 
+// learnLoad takes the load of an upstream from HeaderLoad.
+func (c *call) learnLoad(text string) {
+	var numbers [4]int
+	count := 0
+	for part := range strings.SplitSeq(text, "/") {
+		number, err := strconv.Atoi(part)
+		if err != nil || number < 0 || count == len(numbers) {
+			return
+		}
+		numbers[count] = number
+		count++
+	}
+	balancer, now := c.entry.balancer, c.entry.config.Clock.Now()
+	switch count {
+	case 2:
+		balancer.Report(now, c.choice, numbers[0], numbers[1])
+	case len(numbers):
+		balancer.ReportCondition(now, c.choice, c.route.Spec.Name, route.Condition{
+			InFlight: numbers[0],
+			Limit:    numbers[1],
+			Hold:     time.Duration(numbers[2]) * time.Microsecond,
+			Failures: float64(numbers[3]) / permille,
+		})
+	}
+}
+
 // refusal returns the result that the headers of a refusal report; ok is false for an
 // answer of the upstream. A kind that is not in the table comes from a newer release.
 func (c *call) refusal(header http.Header, detail func() string) (result, bool) {
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -253,13 +253,17 @@
 	if c.key != "" {
 		return c.chooseOwner(query)
 	}
-	balancer, now := c.entry.balancer, c.entry.config.Clock.Now()
+	now := c.entry.config.Clock.Now()
+	choose := c.entry.balancer.Choose
+	if c.entry.config.Dialect != nil {
+		choose = c.entry.balancer.ChooseByCost
+	}
 	var ok bool
-	if c.choice, ok = balancer.Choose(now, query); !ok && len(c.tried) > 0 {
+	if c.choice, ok = choose(now, query); !ok && len(c.tried) > 0 {
 		// Every upstream refused once. After the backoff each of them may have a free slot.
 		c.tried = c.tried[:0]
 		query.Tried = nil
-		c.choice, ok = balancer.Choose(now, query)
+		c.choice, ok = choose(now, query)
 	}
 	if !ok {
 		r := failed(core.NoUpstream, true, "no upstream of service "+string(c.service.Name)+" can take the request")
@@ -288,6 +292,8 @@
 func (c *call) query() route.Query {
 	query := route.Query{
 		Service:  c.service,
+		Route:    c.route.Spec.Name,
+		Target:   time.Duration(c.route.Spec.LatencyTarget),
 		Homes:    c.homes,
 		Snapshot: c.view.table.Snapshot(),
 		Members:  c.entry.config.Members.OfService(c.service.Name),
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -312,6 +312,9 @@
 	Refuse(c.writer, kind, detail)
 }
 
+// permille is the unit of the share of failures in HeaderLoad.
+const permille = 1000
+
 var arrivedText = []string{"true"}
 
 // decide logs a decision of the gatekeeper.
@@ -350,6 +353,15 @@
 	load = strconv.AppendInt(load, int64(c.inFlight), 10)
 	load = append(load, '/')
 	load = strconv.AppendInt(load, int64(c.limit), 10)
+	if c.gate.config.Upstream != nil {
+		c.gate.mu.Lock()
+		held, failures := c.gate.admission.Hold(c.admitted.Route)
+		c.gate.mu.Unlock()
+		load = append(load, '/')
+		load = strconv.AppendInt(load, held.Microseconds(), 10)
+		load = append(load, '/')
+		load = strconv.AppendInt(load, int64(failures*permille), 10)
+	}
 	header[keyLoad] = []string{string(load)}
 	if c.body != nil && !c.body.isAtEnd() {
 		// After full duplex the server cannot use a connection again on which a body was not
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -30,7 +30,9 @@
 	HeaderArrived = "Verbenaway-Arrived"
 	// HeaderRetryAfter in a refusal is when room is expected, in whole milliseconds.
 	HeaderRetryAfter = "Verbenaway-RetryAfterMs"
-	// HeaderLoad in an answer is "inFlight/limit" of the upstream that gave it.
+	// HeaderLoad in an answer is "inFlight/limit" of the upstream that gave it. Where upstreams
+	// register themselves, "/holdUs/failedPermille" follows: the usual microseconds of a request
+	// of the route, and the share of the latest requests that came to nothing.
 	HeaderLoad = "Verbenaway-Load"
 	// HeaderError in an answer is the error kind of a refusal.
 	HeaderError = "Verbenaway-Error"
