proxy: begin requests that wait behind others on their connection

Change: the listener of the entry reads ahead while a handler runs and begins idempotent requests without a body; the server finds their answers ready. Test: TestPipelinedSlowAnswers.

--- /dev/null
+++ b/io/proxy/early_test.go
@@ -0,0 +1,135 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// earlyRig is an entry behind an EarlyListener in front of one gate.
+func earlyRig(t *testing.T, gate http.HandlerFunc) net.Conn {
+	t.Helper()
+	rig := newEntryRig(t, nil, gateHost("a", startGate(t, gate)))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server := rig.entry.Server()
+	go func() {
+		_ = server.Serve(&EarlyListener{
+			Listener: listener,
+			Entry:    rig.entry,
+		})
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() {
+		_ = conn.Close()
+		_ = server.Close()
+	})
+	return conn
+}
+
+func pipelined(method, path, body string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: mesh.test\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body)
+}
+
+func readAnswers(t *testing.T, conn net.Conn, count int) []string {
+	t.Helper()
+	reader := bufio.NewReader(conn)
+	var bodies []string
+	for range count {
+		response, err := http.ReadResponse(reader, nil)
+		qt.Assert(t, err, qt.IsNil)
+		text := new(strings.Builder)
+		_, err = bufio.NewReader(response.Body).WriteTo(text)
+		qt.Assert(t, err, qt.IsNil)
+		bodies = append(bodies, text.String())
+	}
+	return bodies
+}
+
+// TestPipelinedSlowAnswers guards against requests that wait for the answers before them on
+// their connection: each takes 200 ms, and six one after the other would take 1.2 s.
+func TestPipelinedSlowAnswers(t *testing.T) {
+	c := qt.New(t)
+	conn := earlyRig(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(200 * time.Millisecond)
+		_, _ = fmt.Fprint(w, r.URL.Path)
+	})
+	begin := time.Now()
+	var want []string
+	for i := range 6 {
+		path := fmt.Sprintf("/lookup/%d", i)
+		want = append(want, path)
+		// Some requests come together, others in pieces and while an answer is due.
+		text := pipelined("GET", path, "")
+		_, err := conn.Write([]byte(text[:10]))
+		c.Assert(err, qt.IsNil)
+		if i%2 == 1 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		_, err = conn.Write([]byte(text[10:]))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(readAnswers(t, conn, 6), qt.DeepEquals, want)
+	c.Assert(time.Since(begin) < 700*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", time.Since(begin)))
+}
+
+// TestPipelinedOrdersWait guards against an order that runs while the caller may still lose
+// its connection to an earlier answer: it begins only when it is due, and in its place.
+func TestPipelinedOrdersWait(t *testing.T) {
+	c := qt.New(t)
+	var running, most atomic.Int32
+	conn := earlyRig(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/order") {
+			now := running.Add(1)
+			defer running.Add(-1)
+			most.Store(max(most.Load(), now))
+		}
+		text := new(strings.Builder)
+		_, _ = bufio.NewReader(r.Body).WriteTo(text)
+		time.Sleep(30 * time.Millisecond)
+		_, _ = fmt.Fprint(w, r.URL.Path+text.String())
+	})
+	_, err := conn.Write([]byte(pipelined("POST", "/order/1", "a") + pipelined("POST", "/order/2", "b") +
+		pipelined("GET", "/order/3", "") + pipelined("POST", "/order/4", strings.Repeat("c", 9000)) + pipelined("GET", "/lookup/5", "")))
+	c.Assert(err, qt.IsNil)
+	c.Assert(readAnswers(t, conn, 5), qt.DeepEquals, []string{
+		"/order/1a", "/order/2b", "/order/3", "/order/4" + strings.Repeat("c", 9000), "/lookup/5",
+	})
+	c.Assert(most.Load(), qt.Equals, int32(1))
+}
+
+// TestPipelinedCallerLeaves guards against work for a caller who is gone: the first answer is
+// due, others have begun, and the connection ends.
+func TestPipelinedCallerLeaves(t *testing.T) {
+	c := qt.New(t)
+	var running, canceled atomic.Int32
+	conn := earlyRig(t, func(_ http.ResponseWriter, r *http.Request) {
+		running.Add(1)
+		<-r.Context().Done()
+		canceled.Add(1)
+	})
+	_, err := conn.Write([]byte(strings.Repeat(pipelined("GET", "/lookup/1", ""), 3)))
+	c.Assert(err, qt.IsNil)
+	waitUntil(t, func() bool { return running.Load() == 3 })
+	c.Assert(conn.Close(), qt.IsNil)
+	waitUntil(t, func() bool { return canceled.Load() == 3 })
+}
+
+// waitUntil fails the test if a condition does not come true within the half second in which
+// work for a caller has to end.
+func waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(500 * time.Millisecond); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the condition did not come true in time")
+		}
+	}
+}
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -120,30 +120,66 @@
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    serverHeaderBytes,
+		ConnContext:       withCallerConn,
 	}
 }
 
 // ServeHTTP carries one request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.inFlight.Add(1)
-	defer e.leave()
-	e.Counters.Requests.Add(1)
+	conn, ok := r.Context().Value(callerConnKey{}).(*callerConn)
+	if !ok {
+		e.serve(w, r, false)
+		return
+	}
+	early := conn.begin(r)
+	defer conn.end()
+	if early != nil {
+		if e.isLeaving() {
+			w.Header().Set("Connection", "close")
+		}
+		if early.join(w, r) {
+			return
+		}
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(conn.ctx, cancel)()
+	e.serve(w, r.WithContext(ctx), false)
+}
+
+// serve carries one request. An early one that may run only once is not begun, which the
+// result tells.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, isEarly bool) bool {
 	c := &call{
 		entry:   e,
 		request: r,
 		began:   e.config.Clock.Now(),
 	}
 	c.reply.init(w)
+	e.inFlight.Add(1)
+	defer e.leave()
 	defer c.end()
 	if e.draining.Load() {
+		e.Counters.Requests.Add(1)
 		c.refuse(core.Leaving, "the daemon is leaving")
-		return
+		return true
 	}
-	if kind, detail := c.prepare(); kind != "" {
+	kind, detail := c.prepare()
+	if isEarly && kind == "" && !c.idempotent {
+		return false
+	}
+	e.Counters.Requests.Add(1)
+	if kind != "" {
 		c.refuse(kind, detail)
-		return
+		return true
 	}
 	c.run()
+	return true
+}
+
+// isLeaving tells whether callers are asked to use other daemons.
+func (e *Entry) isLeaving() bool {
+	return e.leaving.Load() || e.draining.Load()
 }
 
 // ServeClaimed carries a request whose idempotency key the gatekeeper of the own host has
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -377,7 +377,7 @@
 
 // isLast tells whether the caller's connection ends with this answer.
 func (c *call) isLast() bool {
-	return c.entry.draining.Load() || c.entry.leaving.Load() || c.stream != nil && !c.stream.complete()
+	return c.entry.isLeaving() || c.stream != nil && !c.stream.complete()
 }
 
 // end releases what the request holds. It also runs when the answer breaks off.
