Tests of load patterns for admission, choice, retry budget and registry state

A gatekeeper without history let every request wait, since its estimate of a wait was zero (TestRetryAfterFromBacklog: 2.4 s of backlog at a target of 0.5 s). It now expects a share of the latency target.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -183,7 +183,7 @@
 	wait := !c.mayRun(now, ticket.class) || c.ahead(ticket.rank) > 0
 	if wait && !c.mayWait(now, ticket) {
 		decision := refuse(c.busyKind(now), "every slot is in use")
-		decision.RetryAfter = c.expectedWait(now, ticket.rank)
+		decision.RetryAfter = c.expectedWait(now, ticket)
 		return decision
 	}
 	if !hasToken(now, ticket.routeLimits) || !hasToken(now, ticket.tenantLimits) {
@@ -341,7 +341,7 @@
 		return c.waiting() < length
 	}
 	hold := time.Duration(holdMargin * float64(c.holds.of(request.Route)))
-	expected := c.expectedWait(now, ticket.rank) + hold
+	expected := c.expectedWait(now, ticket) + hold
 	return !now.Add(expected).After(c.latest(now, ticket))
 }
 
@@ -384,11 +384,19 @@
 	})
 }
 
-// expectedWait estimates when a new request of a rank would begin.
-func (c *Controller) expectedWait(now time.Time, rank int) time.Duration {
-	places := time.Duration(c.ahead(rank) + 1)
+// unknownHold is the share of its latency target for which a request is expected to hold a
+// slot before any request has ended.
+const unknownHold = 0.3
+
+// expectedWait estimates how long a new request will wait.
+func (c *Controller) expectedWait(now time.Time, ticket *Ticket) time.Duration {
+	hold := c.holds.all
+	if hold == 0 && !ticket.request.Target.IsZero() {
+		hold = time.Duration(unknownHold * float64(ticket.request.Target.Sub(now)))
+	}
+	places := time.Duration(c.ahead(ticket.rank) + 1)
 	limit := time.Duration(max(c.limit(), 1))
-	wait := places * c.holds.all / limit
+	wait := places * hold / limit
 	if c.isCold(now) {
 		wait = max(wait, places*time.Second/time.Duration(c.coldPerSecond()))
 	}
--- /dev/null
+++ b/core/admit/load_test.go
@@ -0,0 +1,327 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaway/core"
+	"verbenaway/core/admit"
+)
+
+var loadStart = time.Unix(1_700_000_000, 0)
+
+// loadRig is the gatekeeper of a registered upstream with 4 slots in virtual time. Each request
+// takes the time of its route.
+type loadRig struct {
+	controller *admit.Controller
+	upstream   admit.Upstream
+	now        time.Time
+	running    map[*admit.Ticket]time.Time
+	// begun holds when each request began, by ticket; refused counts those that did not.
+	begun   map[*admit.Ticket]time.Time
+	arrived map[*admit.Ticket]time.Time
+	ended   []ended
+	refused map[core.RouteName]int
+	late    map[core.RouteName]int
+}
+
+type ended struct {
+	route core.RouteName
+	took  time.Duration
+}
+
+// The routes of the rig, most urgent first, and how long their requests hold a slot.
+var loadRoutes = []struct {
+	spec core.RouteSpec
+	hold time.Duration
+}{
+	{
+		spec: core.RouteSpec{Name: "check", Service: "s", Class: core.ClassLookup, Priority: 1, LatencyTarget: core.Duration(150 * time.Millisecond), Timeout: core.Duration(500 * time.Millisecond)},
+		hold: 40 * time.Millisecond,
+	},
+	{
+		spec: core.RouteSpec{Name: "order", Service: "s", Class: core.ClassOrder, Priority: 1, LatencyTarget: core.Duration(600 * time.Millisecond), Timeout: core.Duration(1500 * time.Millisecond)},
+		hold: 200 * time.Millisecond,
+	},
+	{
+		spec: core.RouteSpec{Name: "lookup", Service: "s", Class: core.ClassLookup, Priority: 2, LatencyTarget: core.Duration(500 * time.Millisecond), Timeout: core.Duration(1200 * time.Millisecond)},
+		hold: 160 * time.Millisecond,
+	},
+}
+
+func newLoadRig(coldFor time.Duration) *loadRig {
+	rig := &loadRig{
+		controller: admit.New(admit.Config{
+			IsRegistered: true,
+		}),
+		upstream: admit.Upstream{
+			Instance:  "i1",
+			Service:   "s",
+			Slots:     4,
+			ColdUntil: loadStart.Add(coldFor),
+		},
+		now:     loadStart,
+		running: map[*admit.Ticket]time.Time{},
+		begun:   map[*admit.Ticket]time.Time{},
+		arrived: map[*admit.Ticket]time.Time{},
+		refused: map[core.RouteName]int{},
+		late:    map[core.RouteName]int{},
+	}
+	snapshot := &core.Snapshot{
+		Version: 1,
+		Services: map[core.ServiceName]core.ServiceSpec{
+			"s": {Name: "s", Slots: 1, ColdRate: 18},
+		},
+		Routes: map[core.RouteName]core.RouteSpec{},
+	}
+	for _, r := range loadRoutes {
+		snapshot.Routes[r.spec.Name] = r.spec
+	}
+	rig.controller.Adopt(rig.now, &rig.upstream)
+	rig.controller.Configure(rig.now, snapshot)
+	return rig
+}
+
+func loadRoute(name core.RouteName) (spec core.RouteSpec, hold time.Duration) {
+	for _, r := range loadRoutes {
+		if r.spec.Name == name {
+			return r.spec, r.hold
+		}
+	}
+	panic("no such route")
+}
+
+// offer lets a request arrive now.
+func (r *loadRig) offer(name core.RouteName) admit.Decision {
+	spec, _ := loadRoute(name)
+	ticket := &admit.Ticket{
+		Owner: name,
+	}
+	r.arrived[ticket] = r.now
+	decision := r.controller.Offer(r.now, admit.Request{
+		Route:    name,
+		Service:  "s",
+		Deadline: r.now.Add(time.Duration(spec.Timeout)),
+		Target:   r.now.Add(time.Duration(spec.LatencyTarget)),
+	}, ticket)
+	switch {
+	case decision.Kind != "":
+		r.refused[name]++
+	case !decision.Wait:
+		r.begin(ticket)
+	}
+	return decision
+}
+
+func (r *loadRig) begin(ticket *admit.Ticket) {
+	_, hold := loadRoute(ticket.Owner.(core.RouteName))
+	r.running[ticket] = r.now.Add(hold)
+	r.begun[ticket] = r.now
+}
+
+// advance moves the time on by a millisecond.
+func (r *loadRig) advance() {
+	r.now = r.now.Add(time.Millisecond)
+	if at := r.controller.NextGrant(r.now); !at.IsZero() && !at.After(r.now) {
+		r.wake(r.controller.Grant(r.now))
+	}
+	for ticket, end := range r.running {
+		if end.After(r.now) {
+			continue
+		}
+		delete(r.running, ticket)
+		name := ticket.Owner.(core.RouteName)
+		spec, _ := loadRoute(name)
+		took := r.now.Sub(r.arrived[ticket])
+		r.ended = append(r.ended, ended{route: name, took: took})
+		if took > time.Duration(spec.LatencyTarget) {
+			r.late[name]++
+		}
+		r.wake(r.controller.Finish(r.now, ticket, true))
+	}
+}
+
+func (r *loadRig) wake(wakes []admit.Wake) {
+	for _, wake := range wakes {
+		if wake.Kind != "" {
+			r.refused[wake.Ticket.Owner.(core.RouteName)]++
+			continue
+		}
+		r.begin(wake.Ticket)
+	}
+}
+
+// count returns how many requests of a route were answered.
+func (r *loadRig) count(name core.RouteName) int {
+	count := 0
+	for _, e := range r.ended {
+		if e.route == name {
+			count++
+		}
+	}
+	return count
+}
+
+// mostBegun returns the most requests that began within any second.
+func (r *loadRig) mostBegun() int {
+	most := 0
+	for _, from := range r.begun {
+		count := 0
+		for _, at := range r.begun {
+			if !at.Before(from) && at.Before(from.Add(time.Second)) {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+// TestBurstOnColdUpstream guards against a cold upstream that falls over: hundreds of requests
+// a second arrive at an upstream that bears 18, for which the platform allows 1.5 times as
+// many and 5 more.
+func TestBurstOnColdUpstream(t *testing.T) {
+	c := qt.New(t)
+	rig := newLoadRig(3 * time.Second)
+	for i := range 2800 {
+		if i%3 == 0 {
+			rig.offer("check")
+		}
+		rig.advance()
+	}
+	c.Assert(rig.mostBegun() <= 18*3/2+5, qt.IsTrue, qt.Commentf("%d in a second", rig.mostBegun()))
+	c.Assert(rig.mostBegun() >= 18, qt.IsTrue, qt.Commentf("%d in a second", rig.mostBegun()))
+}
+
+// TestColdAgain guards against a cold start that is announced while requests of the second
+// before still count, and against a rate that holds on after it.
+func TestColdAgain(t *testing.T) {
+	c := qt.New(t)
+	rig := newLoadRig(0)
+	for range 1000 {
+		rig.offer("check")
+		rig.advance()
+	}
+	before := len(rig.begun)
+	rig.upstream.ColdUntil = rig.now.Add(2 * time.Second)
+	rig.wake(rig.controller.Adopt(rig.now, &rig.upstream))
+	for range 900 {
+		rig.offer("check")
+		rig.advance()
+	}
+	// The second before was full, so that nearly nothing may begin until it has passed.
+	c.Assert(len(rig.begun)-before <= 18*3/2+5, qt.IsTrue, qt.Commentf("%d began", len(rig.begun)-before))
+	rig.upstream.ColdUntil = time.Time{}
+	rig.wake(rig.controller.Adopt(rig.now, &rig.upstream))
+	before = len(rig.begun)
+	for range 500 {
+		rig.offer("check")
+		rig.advance()
+	}
+	c.Assert(len(rig.begun)-before > 40, qt.IsTrue, qt.Commentf("%d began", len(rig.begun)-before))
+}
+
+// TestOverloadAnswersInTime guards against a queue that makes every answer late: 1.6 times the
+// requests arrive that the slots can run.
+func TestOverloadAnswersInTime(t *testing.T) {
+	c := qt.New(t)
+	rig := newLoadRig(0)
+	for i := range 10_000 {
+		if i%25 == 0 {
+			rig.offer("lookup")
+		}
+		rig.advance()
+	}
+	answered := rig.count("lookup")
+	c.Assert(answered >= 240, qt.IsTrue, qt.Commentf("%d answered of 250 that the slots can run", answered))
+	c.Assert(rig.late["lookup"]*20 < answered, qt.IsTrue, qt.Commentf("%d late of %d", rig.late["lookup"], answered))
+}
+
+// TestUrgentFirstInOverload guards against urgent requests that are refused or late while less
+// urgent ones are served: lookups alone would fill all slots.
+func TestUrgentFirstInOverload(t *testing.T) {
+	c := qt.New(t)
+	rig := newLoadRig(0)
+	for i := range 10_000 {
+		if i%20 == 0 {
+			rig.offer("lookup")
+		}
+		if i%50 == 10 {
+			rig.offer("check")
+		}
+		if i%100 == 30 {
+			rig.offer("order")
+		}
+		rig.advance()
+	}
+	c.Assert(rig.refused["check"], qt.Equals, 0)
+	c.Assert(rig.refused["order"], qt.Equals, 0)
+	c.Assert(rig.late["order"] <= 2, qt.IsTrue, qt.Commentf("%d late", rig.late["order"]))
+	c.Assert(rig.count("lookup") > 0, qt.IsTrue)
+}
+
+// TestRetryAfterFromBacklog guards against callers who are sent away without a time or with
+// one that has nothing to do with the backlog.
+func TestRetryAfterFromBacklog(t *testing.T) {
+	c := qt.New(t)
+	rig := newLoadRig(0)
+	for range 400 {
+		rig.offer("lookup")
+		rig.advance()
+		rig.advance()
+	}
+	var decision admit.Decision
+	for range 20 {
+		decision = rig.offer("lookup")
+	}
+	c.Assert(decision.Kind, qt.Equals, core.Overloaded)
+	c.Assert(decision.RetryAfter >= 160*time.Millisecond && decision.RetryAfter <= 600*time.Millisecond, qt.IsTrue,
+		qt.Commentf("%v", decision.RetryAfter))
+}
+
+// TestLeavingUpstream guards against new work, waiting requests included, for an upstream that
+// leaves, and for another service that got its address.
+func TestLeavingUpstream(t *testing.T) {
+	cases := []struct {
+		name string
+		edit func(*admit.Upstream) *admit.Upstream
+		kind core.Kind
+	}{
+		{
+			name: "leaving",
+			edit: func(u *admit.Upstream) *admit.Upstream {
+				u.IsLeaving = true
+				return u
+			},
+			kind: core.Leaving,
+		},
+		{
+			name: "gone",
+			edit: func(*admit.Upstream) *admit.Upstream { return nil },
+			kind: core.NoUpstream,
+		},
+		{
+			name: "another service",
+			edit: func(u *admit.Upstream) *admit.Upstream {
+				u.Instance, u.Service = "i2", "other"
+				return u
+			},
+			kind: core.NoUpstream,
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			rig := newLoadRig(0)
+			for range 5 {
+				rig.offer("order")
+			}
+			wakes := rig.controller.Adopt(rig.now, tc.edit(&rig.upstream))
+			c.Assert(wakes, qt.HasLen, 1)
+			c.Assert(wakes[0].Kind, qt.Equals, tc.kind)
+			c.Assert(rig.offer("order").Kind, qt.Equals, tc.kind)
+		})
+	}
+}
--- /dev/null
+++ b/core/follow/state_test.go
@@ -0,0 +1,273 @@
+package follow_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaway/core"
+	"verbenaway/core/follow"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+const grace = 2 * time.Second
+
+func configChange(revision uint64, version core.Version) core.RegistryChange {
+	return core.RegistryChange{
+		Key:      "config",
+		Revision: revision,
+		Config: &core.Snapshot{
+			Version: version,
+		},
+	}
+}
+
+func zoneChange(revision uint64, isDelete bool) core.RegistryChange {
+	change := core.RegistryChange{
+		Key:      "zone/a",
+		Revision: revision,
+		IsDelete: isDelete,
+	}
+	if !isDelete {
+		change.Zone = "a"
+	}
+	return change
+}
+
+func upstreamChange(revision uint64, id string, state core.HostState) core.RegistryChange {
+	return core.RegistryChange{
+		Key:      "upstream/" + id,
+		Revision: revision,
+		Upstream: &core.UpstreamRecord{
+			Host: core.Host{
+				Name:     core.HostName("address-" + id),
+				Service:  "netbook",
+				State:    state,
+				Instance: id,
+			},
+			Slots: 18,
+		},
+	}
+}
+
+func gone(revision uint64, id string) core.RegistryChange {
+	return core.RegistryChange{
+		Key:      "upstream/" + id,
+		Revision: revision,
+		IsDelete: true,
+	}
+}
+
+// step is one input to a State, at a time after start.
+type step struct {
+	at     time.Duration
+	list   *core.RegistryListing
+	watch  []core.RegistryChange
+	lost   bool
+	expire bool
+}
+
+func listing(revision uint64, changes ...core.RegistryChange) *core.RegistryListing {
+	return &core.RegistryListing{
+		Changes:  changes,
+		Revision: revision,
+	}
+}
+
+// TestState guards against a view that answers of the store, which overtake each other, turn
+// back, and against upstreams lost because the store was away.
+func TestState(t *testing.T) {
+	cases := []struct {
+		name    string
+		steps   []step
+		version core.Version
+		out     bool
+		members map[string]core.MemberState
+		ready   bool
+	}{
+		{
+			name:  "nothing is used before a configuration is known",
+			steps: []step{{list: listing(5, upstreamChange(3, "i1", core.HostLive))}},
+			members: map[string]core.MemberState{
+				"i1": core.MemberAlive,
+			},
+		},
+		{
+			name: "an older listing does not turn back a watch",
+			steps: []step{
+				{list: listing(5, configChange(4, 1), upstreamChange(3, "i1", core.HostLive))},
+				{watch: []core.RegistryChange{configChange(8, 2), upstreamChange(7, "i1", core.HostLeaving), zoneChange(9, false)}},
+				{list: listing(6, configChange(4, 1), upstreamChange(3, "i1", core.HostLive))},
+			},
+			version: 2,
+			out:     true,
+			ready:   true,
+			members: map[string]core.MemberState{
+				"i1": core.MemberLeaving,
+			},
+		},
+		{
+			name: "a key that a newer listing lacks is deleted",
+			steps: []step{
+				{list: listing(5, configChange(4, 1), upstreamChange(3, "i1", core.HostLive), zoneChange(5, false))},
+				{list: listing(9, configChange(4, 1))},
+			},
+			version: 1,
+			ready:   true,
+			members: map[string]core.MemberState{},
+		},
+		{
+			name: "a deleted key is not brought back by an older page",
+			steps: []step{
+				{list: listing(5, configChange(4, 1), upstreamChange(3, "i1", core.HostLive))},
+				{watch: []core.RegistryChange{gone(7, "i1"), zoneChange(8, true)}},
+				{list: listing(6, configChange(4, 1), upstreamChange(3, "i1", core.HostLive), zoneChange(6, false))},
+			},
+			version: 1,
+			ready:   true,
+			members: map[string]core.MemberState{},
+		},
+		{
+			name: "an entry that lapsed during an outage is kept for the grace",
+			steps: []step{
+				{list: listing(5, configChange(4, 1), upstreamChange(3, "i1", core.HostLive), upstreamChange(4, "i2", core.HostLive))},
+				{at: time.Second, lost: true},
+				{at: 9 * time.Second, watch: []core.RegistryChange{gone(7, "i1")}},
+				{at: 10 * time.Second, watch: []core.RegistryChange{gone(8, "i2")}, expire: true},
+			},
+			version: 1,
+			ready:   true,
+			members: map[string]core.MemberState{
+				"i1": core.MemberAlive,
+				"i2": core.MemberAlive,
+			},
+		},
+		{
+			name: "an entry that is not back after the grace is gone",
+			steps: []step{
+				{list: listing(5, configChange(4, 1), upstreamChange(3, "i1", core.HostLive), upstreamChange(4, "i2", core.HostLive))},
+				{at: time.Second, lost: true},
+				{at: 9 * time.Second, watch: []core.RegistryChange{gone(7, "i1"), gone(8, "i2")}},
+				{at: 10 * time.Second, watch: []core.RegistryChange{upstreamChange(9, "i2", core.HostLive)}},
+				{at: 9*time.Second + grace, expire: true},
+			},
+			version: 1,
+			ready:   true,
+			members: map[string]core.MemberState{
+				"i2": core.MemberAlive,
+			},
+		},
+		{
+			name: "an upstream that was leaving does not come back by a lapse",
+			steps: []step{
+				{list: listing(5, configChange(4, 1), upstreamChange(3, "i1", core.HostLeaving))},
+				{at: time.Second, lost: true},
+				{at: 9 * time.Second, watch: []core.RegistryChange{gone(7, "i1")}},
+			},
+			version: 1,
+			ready:   true,
+			members: map[string]core.MemberState{},
+		},
+		{
+			name: "an entry that cannot be read names no upstream and does not harm the others",
+			steps: []step{
+				{list: listing(5, configChange(4, 1), upstreamChange(3, "i1", core.HostLive))},
+				{watch: []core.RegistryChange{
+					{Key: "upstream/i9", Revision: 6},
+					{Key: "config", Revision: 7},
+				}},
+			},
+			version: 1,
+			ready:   true,
+			members: map[string]core.MemberState{
+				"i1": core.MemberAlive,
+			},
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			state := follow.New(follow.Config{
+				ReturnGrace: grace,
+			})
+			for _, s := range tc.steps {
+				apply(state, s)
+			}
+			c.Assert(state.IsReady(), qt.Equals, tc.ready)
+			view := state.View()
+			if tc.version != 0 {
+				c.Assert(view.Snapshot.Version, qt.Equals, tc.version)
+				c.Assert(view.Snapshot.Out["a"], qt.Equals, tc.out)
+			}
+			found := map[string]core.MemberState{}
+			for _, member := range view.Members["netbook"] {
+				found[member.Host.Instance] = member.State
+			}
+			c.Assert(found, qt.DeepEquals, tc.members)
+		})
+	}
+}
+
+func apply(state *follow.State, s step) {
+	now := start.Add(s.at)
+	switch {
+	case s.lost:
+		state.StoreLost()
+		return
+	case s.list != nil:
+		state.StoreBack(now)
+		state.List(now, *s.list)
+	case s.watch != nil:
+		state.StoreBack(now)
+		state.Watch(now, core.RegistryChanges{
+			Changes:  s.watch,
+			Revision: s.watch[len(s.watch)-1].Revision,
+		})
+	}
+	if s.expire {
+		state.Expire(now)
+	}
+}
+
+// TestAddressUsedAgain guards against requests to an upstream that has ended, whose entry is
+// still there while another service uses its address.
+func TestAddressUsedAgain(t *testing.T) {
+	c := qt.New(t)
+	state := follow.New(follow.Config{
+		ReturnGrace: grace,
+	})
+	old := upstreamChange(3, "i1", core.HostLive)
+	old.Upstream.Born = 1000
+	next := upstreamChange(6, "i2", core.HostLive)
+	next.Upstream.Host.Name = old.Upstream.Host.Name
+	next.Upstream.Host.Service = "roadguard"
+	next.Upstream.Born = 2000
+	state.List(start, *listing(6, configChange(1, 1), next, old))
+	view := state.View()
+	c.Assert(view.Members["netbook"], qt.HasLen, 0)
+	c.Assert(view.Members["roadguard"], qt.HasLen, 1)
+	c.Assert(view.ByName[old.Upstream.Host.Name].Host.Instance, qt.Equals, "i2")
+}
+
+// TestColdStart guards against a cold start that is taken for longer or shorter than the
+// upstream says, and a snapshot that is built anew though nothing in it changed.
+func TestColdStart(t *testing.T) {
+	c := qt.New(t)
+	state := follow.New(follow.Config{
+		ReturnGrace: grace,
+	})
+	cold := upstreamChange(3, "i1", core.HostLive)
+	cold.Upstream.ColdFor = 3 * time.Second
+	state.List(start, *listing(4, configChange(1, 1), cold))
+	before := state.View()
+	c.Assert(before.Members["netbook"][0].ColdUntil, qt.Equals, start.Add(3*time.Second))
+	state.Watch(start.Add(time.Second), core.RegistryChanges{
+		Changes:  []core.RegistryChange{upstreamChange(5, "i1", core.HostLive)},
+		Revision: 5,
+	})
+	after := state.View()
+	c.Assert(after.Members["netbook"][0].ColdUntil.IsZero(), qt.IsTrue)
+	c.Assert(after.Snapshot, qt.Equals, before.Snapshot)
+}
