--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -19,6 +19,8 @@
 	// succession share a call. It is small against the two seconds within which a zone or an
 	// upstream has to be left.
 	watchGap = 500 * time.Millisecond
+	// watchShare is the part of the store's rate that watches use at the most.
+	watchShare = 0.5
 	// pulseInterval spaces the cheap stale reads that show whether the watch is still served.
 	// Two of them and a read have to fit between the end of a disruption and the time from
 	// which the bounds hold again.
@@ -40,6 +42,8 @@
 	State    follow.Config
 	// WatchWait is how long a watch is parked; 0 means DefaultWatchWait.
 	WatchWait time.Duration
+	// ReadsPerSecond is what the store allows all daemons together, 0 if it is not bounded.
+	ReadsPerSecond float64
 	// Changed is called after each change of what the request path uses. Optional.
 	Changed func()
 }
@@ -168,7 +172,7 @@
 		return nil
 	}
 	f.mu.Lock()
-	rest := watchGap - f.config.Clock.Now().Sub(f.watchedAt)
+	rest := f.gap() - f.config.Clock.Now().Sub(f.watchedAt)
 	f.mu.Unlock()
 	pause(ctx, rest)
 	watchCtx, cancel := context.WithCancel(ctx)
@@ -233,6 +237,16 @@
 	}
 }
 
+// gap returns the least time between two watches: all daemons, of which there is one beside
+// each upstream, see each change at the same time and would exceed the store's rate together.
+func (f *Follower) gap() time.Duration {
+	if f.config.ReadsPerSecond <= 0 {
+		return watchGap
+	}
+	fair := float64(f.Size()) / (watchShare * f.config.ReadsPerSecond)
+	return max(watchGap, time.Duration(fair*float64(time.Second)))
+}
+
 // update applies an answer of the store and publishes the view.
 func (f *Follower) update(apply func(now time.Time)) {
 	f.mu.Lock()
