follow: one reader of the store in each zone, relayed to its neighbours

Ruled out: longer gaps alone, which delay zones taken out. Change: the daemons of a zone rank themselves; the first reads the store, the others park a question at it and turn to the next or the store when it does not answer or has not heard the store for a second.

--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -37,11 +37,7 @@
 
 // entry is the last known state of one key.
 type entry struct {
-	revision  uint64
-	isDeleted bool
-	config    *core.Snapshot
-	zone      core.AvailabilityZone
-	upstream  *core.UpstreamRecord
+	core.RegistryChange
 	coldUntil time.Time
 	// lapsedUntil is set if the entry was deleted around an outage; the upstream stays in
 	// use until then.
@@ -53,8 +49,10 @@
 type State struct {
 	config  Config
 	entries map[string]*entry
-	// complete is the revision up to which everything is known.
+	// complete is the revision up to which everything is known, floor the one up to which
+	// deletions may have been forgotten.
 	complete uint64
+	floor    uint64
 	isListed bool
 	isLost   bool
 	backAt   time.Time
@@ -107,50 +105,92 @@
 	}
 }
 
-// List takes over a listing.
-func (s *State) List(now time.Time, listing core.RegistryListing) {
-	listed := make(map[string]bool, len(listing.Changes))
-	for _, change := range listing.Changes {
+// List takes over the whole content as of a revision.
+func (s *State) List(now time.Time, changes []core.RegistryChange, revision uint64) {
+	listed := make(map[string]bool, len(changes))
+	for _, change := range changes {
 		listed[change.Key] = true
 		s.apply(now, change)
 	}
 	for key, known := range s.entries {
-		if !listed[key] && !known.isDeleted && known.revision <= listing.Revision {
+		if !listed[key] && !known.IsDelete && known.Revision <= revision {
 			s.apply(now, core.RegistryChange{
-				Key:      key,
-				Revision: listing.Revision,
-				IsDelete: true,
+				RegistryItem: core.RegistryItem{
+					Key:      key,
+					Revision: revision,
+					IsDelete: true,
+				},
 			})
 		}
 	}
 	s.isListed = true
-	s.complete = max(s.complete, listing.Revision)
+	s.complete = max(s.complete, revision)
+	s.forget()
 	s.rebuild(now)
 }
 
 // Watch takes over the result of a watch that continued from Revision.
-func (s *State) Watch(now time.Time, changes core.RegistryChanges) {
-	for _, change := range changes.Changes {
+func (s *State) Watch(now time.Time, changes []core.RegistryChange, revision uint64) {
+	for _, change := range changes {
 		s.apply(now, change)
 	}
-	s.complete = max(s.complete, changes.Revision)
-	if len(changes.Changes) > 0 {
+	s.complete = max(s.complete, revision)
+	if len(changes) > 0 {
+		s.forget()
 		s.rebuild(now)
 	}
 }
 
+// maxDeleted bounds the deleted keys that are kept for daemons that follow this one.
+const maxDeleted = 2048
+
+// forget drops deleted keys once there are twice as many as are kept.
+func (s *State) forget() {
+	var deleted []uint64
+	for _, e := range s.entries {
+		if e.IsDelete && e.Upstream == nil && e.Config == nil {
+			deleted = append(deleted, e.Revision)
+		}
+	}
+	if len(deleted) < 2*maxDeleted {
+		return
+	}
+	slices.Sort(deleted)
+	s.floor = deleted[len(deleted)-maxDeleted]
+	maps.DeleteFunc(s.entries, func(_ string, e *entry) bool {
+		return e.IsDelete && e.Upstream == nil && e.Config == nil && e.Revision <= s.floor
+	})
+}
+
+// Since returns what changed after a revision, for daemons that follow this one; ok is false
+// if that is no longer known. Since 0 returns the whole content without deleted keys.
+func (s *State) Since(after uint64) (answer core.RegistryAnswer, ok bool) {
+	if !s.isListed || after > 0 && after < s.floor {
+		return core.RegistryAnswer{}, false
+	}
+	answer.Revision = s.complete
+	if after > 0 && after >= s.complete {
+		return answer, true
+	}
+	for _, e := range s.entries {
+		if e.Revision > after && (after > 0 || !e.IsDelete) {
+			answer.Items = append(answer.Items, e.RegistryItem)
+		}
+	}
+	slices.SortFunc(answer.Items, func(a, b core.RegistryItem) int {
+		return cmp.Compare(a.Revision, b.Revision)
+	})
+	return answer, true
+}
+
 // apply takes over one change unless a newer one of the key is known.
 func (s *State) apply(now time.Time, change core.RegistryChange) {
 	known := s.entries[change.Key]
-	if known != nil && change.Revision <= known.revision {
+	if known != nil && change.Revision <= known.Revision {
 		return
 	}
 	next := &entry{
-		revision:  change.Revision,
-		isDeleted: change.IsDelete,
-		config:    change.Config,
-		zone:      change.Zone,
-		upstream:  change.Upstream,
+		RegistryChange: change,
 	}
 	if change.Upstream != nil && change.Upstream.ColdFor > 0 {
 		next.coldUntil = now.Add(change.Upstream.ColdFor)
@@ -165,11 +205,11 @@
 // delete keeps a configuration, which operators replace but never delete, and an upstream
 // whose entry may have lapsed because of an outage.
 func (s *State) delete(now time.Time, known, next *entry) {
-	next.config = known.config
+	next.Config = known.Config
 	graceEnd := s.backAt.Add(s.config.ReturnGrace)
 	isLapse := s.isLost || !s.backAt.IsZero() && now.Before(graceEnd)
-	if isLapse && known.upstream != nil && known.upstream.Host.State == core.HostLive {
-		next.upstream = known.upstream
+	if isLapse && known.Upstream != nil && known.Upstream.Host.State == core.HostLive {
+		next.Upstream = known.Upstream
 		next.coldUntil = known.coldUntil
 		next.lapsedUntil = graceEnd
 		if s.isLost {
@@ -184,11 +224,11 @@
 	var next time.Time
 	isChanged := false
 	for _, e := range s.entries {
-		if !e.isDeleted || e.upstream == nil {
+		if !e.IsDelete || e.Upstream == nil {
 			continue
 		}
 		if !now.Before(e.lapsedUntil) {
-			e.upstream = nil
+			e.Upstream = nil
 			isChanged = true
 			continue
 		}
@@ -226,8 +266,8 @@
 func (s *State) newestConfig() *core.Snapshot {
 	var newest *core.Snapshot
 	for _, e := range s.entries {
-		if e.config != nil && (newest == nil || e.config.Version > newest.Version) {
-			newest = e.config
+		if e.Config != nil && (newest == nil || e.Config.Version > newest.Version) {
+			newest = e.Config
 		}
 	}
 	if last := s.view.Snapshot; last != nil && newest != nil && newest.Version < last.Version {
@@ -239,8 +279,8 @@
 func (s *State) zonesOut() map[core.AvailabilityZone]bool {
 	out := map[core.AvailabilityZone]bool{}
 	for _, e := range s.entries {
-		if e.zone != "" && !e.isDeleted {
-			out[e.zone] = true
+		if e.Zone != "" && !e.IsDelete {
+			out[e.Zone] = true
 		}
 	}
 	return out
@@ -259,10 +299,10 @@
 func (s *State) rebuildMembers(now time.Time) {
 	latest := map[core.HostName]*entry{}
 	for _, e := range s.entries {
-		if e.upstream == nil {
+		if e.Upstream == nil {
 			continue
 		}
-		name := e.upstream.Host.Name
+		name := e.Upstream.Host.Name
 		if other := latest[name]; other == nil || isLater(e, other) {
 			latest[name] = e
 		}
@@ -290,17 +330,17 @@
 }
 
 func isLater(a, b *entry) bool {
-	if a.isDeleted != b.isDeleted {
-		return b.isDeleted
+	if a.IsDelete != b.IsDelete {
+		return b.IsDelete
 	}
-	return cmp.Or(cmp.Compare(a.upstream.Born, b.upstream.Born), cmp.Compare(a.revision, b.revision)) > 0
+	return cmp.Or(cmp.Compare(a.Upstream.Born, b.Upstream.Born), cmp.Compare(a.Revision, b.Revision)) > 0
 }
 
 func (e *entry) member(now time.Time) core.Member {
 	member := core.Member{
-		Host:  e.upstream.Host,
+		Host:  e.Upstream.Host,
 		State: core.MemberAlive,
-		Slots: e.upstream.Slots,
+		Slots: e.Upstream.Slots,
 	}
 	if member.Host.State == core.HostLeaving {
 		member.State = core.MemberLeaving
@@ -314,16 +354,16 @@
 // notice records what a change means for the daemon's beliefs.
 func (s *State) notice(before, after *entry) {
 	n := Notice{
-		Revision: after.revision,
+		Revision: after.Revision,
 	}
 	switch {
-	case after.config != nil && !after.isDeleted:
+	case after.Config != nil && !after.IsDelete:
 		n.Kind = core.EventVersionApplied
-	case after.zone != "" && !after.isDeleted:
-		n.Kind, n.Subject = core.EventZoneOut, string(after.zone)
-	case before != nil && before.zone != "" && after.isDeleted:
-		n.Kind, n.Subject = core.EventZoneBack, string(before.zone)
-	case after.upstream != nil || before != nil && before.upstream != nil:
+	case after.Zone != "" && !after.IsDelete:
+		n.Kind, n.Subject = core.EventZoneOut, string(after.Zone)
+	case before != nil && before.Zone != "" && after.IsDelete:
+		n.Kind, n.Subject = core.EventZoneBack, string(before.Zone)
+	case after.Upstream != nil || before != nil && before.Upstream != nil:
 		n = upstreamNotice(n, before, after)
 	default:
 		return
@@ -333,17 +373,17 @@
 
 func upstreamNotice(n Notice, before, after *entry) Notice {
 	n.Kind = core.EventMemberChanged
-	record := after.upstream
+	record := after.Upstream
 	if record == nil {
-		record = before.upstream
+		record = before.Upstream
 	}
 	n.Subject = record.Host.Instance
 	switch {
-	case after.isDeleted && after.upstream != nil:
+	case after.IsDelete && after.Upstream != nil:
 		n.Detail = "the entry lapsed around an outage of the store and is kept for now"
-	case after.isDeleted:
+	case after.IsDelete:
 		n.Detail = "gone"
-	case after.upstream == nil:
+	case after.Upstream == nil:
 		n.Detail = "the entry cannot be read"
 	default:
 		n.Detail = string(record.Host.State) + " at " + string(record.Host.Name) + ", cold for " + record.ColdFor.String()
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -18,13 +18,24 @@
 	// watchGap is the least time between the answers of two watches, so that changes in quick
 	// succession share a call. It is small against the two seconds within which a zone or an
 	// upstream has to be left.
-	watchGap = 500 * time.Millisecond
+	watchGap = 350 * time.Millisecond
 	// watchShare is the part of the store's rate that watches use at the most.
 	watchShare = 0.5
-	// pulseInterval spaces the cheap stale reads that show whether the watch is still served.
-	// Two of them and a read have to fit between the end of a disruption and the time from
-	// which the bounds hold again.
-	pulseInterval = 1 * time.Second
+	// pulseInterval spaces the cheap stale reads of a reader. They show whether its watch is
+	// still served, and to those who follow it that it still hears the store.
+	pulseInterval = 400 * time.Millisecond
+	// contactLimit is the age of the last contact with the store at which a reader is left.
+	// With relayWait and a read it stays below the two seconds within which a change has to
+	// be in force.
+	contactLimit = time.Second
+	// relayWait is how long a question to another daemon is parked.
+	relayWait = 400 * time.Millisecond
+	// relayTimeout bounds the answer of another daemon beyond that.
+	relayTimeout = 250 * time.Millisecond
+	// sourceRest is how long a daemon that gave no answer is not asked again.
+	sourceRest = 2 * time.Second
+	// mostSources bounds the daemons that are asked before the store is.
+	mostSources = 2
 	// firstBackoff and longestBackoff bound the pause after a failed call. The longest is
 	// small against the seconds within which a change has to be in force.
 	firstBackoff   = 50 * time.Millisecond
@@ -37,9 +48,11 @@
 type Config struct {
 	Self     core.Host
 	Registry core.Registry
-	Clock    core.Clock
-	Journal  core.Journal
-	State    follow.Config
+	// Relay asks other daemons; nil makes every daemon read the store itself.
+	Relay   core.RelayClient
+	Clock   core.Clock
+	Journal core.Journal
+	State   follow.Config
 	// WatchWait is how long a watch is parked; 0 means DefaultWatchWait.
 	WatchWait time.Duration
 	// ReadsPerSecond is what the store allows all daemons together, 0 if it is not bounded.
@@ -53,12 +66,15 @@
 	Lists    atomic.Int64
 	Pulses   atomic.Int64
 	Watches  atomic.Int64
+	Relayed  atomic.Int64
 	Failures atomic.Int64
-	// ContactAt is the time of the last answer of the store in Unix nanoseconds.
-	ContactAt atomic.Int64
 }
 
-// Follower follows a registry. It implements core.ConfigView and core.MemberView.
+// Follower follows a registry. It implements core.ConfigView, core.MemberView and
+// core.RelayServer.
+//
+// In each availability zone the first daemons by rank read the store; the others ask them and
+// turn to the store only if they do not answer or do not hear the store themselves.
 type Follower struct {
 	Counters Counters
 
@@ -66,19 +82,25 @@
 	view   atomic.Pointer[follow.View]
 	ready  atomic.Bool
 
-	mu       sync.Mutex
-	state    *follow.State
-	expiry   *time.Timer
-	isLost   bool
-	listedAt time.Time
-	// interrupt ends the current watch; nil between watches.
+	mu     sync.Mutex
+	state  *follow.State
+	expiry *time.Timer
+	// changed is closed and replaced at each change of the state.
+	changed chan struct{}
+	isLost  bool
+	// contactAt is when the store was heard last, by this daemon or the one it follows.
+	contactAt time.Time
+	listedAt  time.Time
+	watchedAt time.Time
+	// interrupt ends the current watch of the store; nil while there is none.
 	interrupt context.CancelFunc
 	wantsList bool
 	// wantsWatch says that the current watch was ended because it seemed to be silent.
 	wantsWatch bool
-	watchedAt  time.Time
 	// behind is the revision that a pulse showed and the watch has not delivered, 0 if none.
 	behind uint64
+	// restUntil holds the daemons that are not asked for now.
+	restUntil map[core.HostName]time.Time
 
 	cancel   context.CancelFunc
 	done     chan struct{}
@@ -95,6 +117,9 @@
 		state:    follow.New(config.State),
 		done:     make(chan struct{}),
 		beatDone: make(chan struct{}),
+
+		changed:   make(chan struct{}),
+		restUntil: map[core.HostName]time.Time{},
 	}
 	f.view.Store(&follow.View{})
 	return f
@@ -127,7 +152,7 @@
 	return nil
 }
 
-// run lists once and watches from there; after a failure it goes on from the last known
+// run lists once and goes on from there; after a failure it goes on from the last known
 // revision.
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.done)
@@ -137,6 +162,10 @@
 		if f.takeWish() {
 			isComplete = false
 		}
+		if isComplete && f.followRelay(ctx) {
+			backoff = firstBackoff
+			continue
+		}
 		err := f.step(ctx, isComplete)
 		switch {
 		case err == nil:
@@ -157,7 +186,7 @@
 	}
 }
 
-// step makes one call.
+// step makes one call of the store.
 func (f *Follower) step(ctx context.Context, isComplete bool) error {
 	if !isComplete {
 		f.Counters.Lists.Add(1)
@@ -165,10 +194,7 @@
 		if err != nil {
 			return err
 		}
-		f.update(func(now time.Time) {
-			f.listedAt = now
-			f.state.List(now, listing)
-		})
+		f.list(listing)
 		return nil
 	}
 	f.mu.Lock()
@@ -182,22 +208,40 @@
 	after := f.state.Revision()
 	f.mu.Unlock()
 	f.Counters.Watches.Add(1)
-	changes, err := f.config.Registry.Watch(watchCtx, after, f.config.WatchWait)
+	answer, err := f.config.Registry.Watch(watchCtx, after, f.config.WatchWait)
 	f.mu.Lock()
 	f.interrupt = nil
 	f.mu.Unlock()
 	if err != nil {
 		return err
 	}
-	f.update(func(now time.Time) {
+	changes := f.decode(answer)
+	f.update(0, func(now time.Time) {
 		f.watchedAt = now
-		f.state.Watch(now, changes)
+		f.state.Watch(now, changes, answer.Revision)
 	})
 	return nil
 }
 
-// beat asks for the revision of the store from time to time. A watch that does not deliver
-// what two pulses in a row have shown is given up.
+// list takes over the whole content.
+func (f *Follower) list(listing core.RegistryAnswer) {
+	changes := f.decode(listing)
+	f.update(0, func(now time.Time) {
+		f.listedAt = now
+		f.state.List(now, changes, listing.Revision)
+	})
+}
+
+func (f *Follower) decode(answer core.RegistryAnswer) []core.RegistryChange {
+	changes := make([]core.RegistryChange, len(answer.Items))
+	for i, item := range answer.Items {
+		changes[i] = f.config.Registry.Decode(item)
+	}
+	return changes
+}
+
+// beat asks for the revision of the store from time to time while this daemon reads it. A
+// watch that does not deliver what two pulses in a row have shown is given up.
 func (f *Follower) beat(ctx context.Context) {
 	defer close(f.beatDone)
 	for ctx.Err() == nil {
@@ -208,6 +252,9 @@
 		if !isWatching || ctx.Err() != nil {
 			continue
 		}
+		if f.endWatchFor(f.config.Clock.Now()) {
+			continue
+		}
 		f.Counters.Pulses.Add(1)
 		revision, err := f.config.Registry.Revision(ctx)
 		if err != nil {
@@ -220,12 +267,33 @@
 	}
 }
 
+// endWatchFor ends the watch of the store if there is a daemon to ask again.
+func (f *Follower) endWatchFor(now time.Time) bool {
+	if f.config.Relay == nil {
+		return false
+	}
+	if _, ok := f.source(now); !ok {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.interrupt == nil {
+		return false
+	}
+	f.wantsWatch = true
+	f.interrupt()
+	return true
+}
+
 // pulse compares the revision of a stale read with the watch.
 func (f *Follower) pulse(revision uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.state.Revision()
 	isSilent := f.behind > known || f.isLost
+	if !f.isLost {
+		f.contactAt = f.config.Clock.Now()
+	}
 	f.behind = 0
 	if revision > known {
 		f.behind = revision
@@ -247,11 +315,13 @@
 	return max(watchGap, time.Duration(fair*float64(time.Second)))
 }
 
-// update applies an answer of the store and publishes the view.
-func (f *Follower) update(apply func(now time.Time)) {
+// update applies an answer, which the store gave the given time ago, and publishes the view.
+func (f *Follower) update(age time.Duration, apply func(now time.Time)) {
 	f.mu.Lock()
 	now := f.config.Clock.Now()
-	f.Counters.ContactAt.Store(now.UnixNano())
+	if heard := now.Add(-age); heard.After(f.contactAt) {
+		f.contactAt = heard
+	}
 	wasLost := f.isLost
 	f.isLost = false
 	f.state.StoreBack(now)
@@ -278,6 +348,8 @@
 	next := f.state.Expire(now)
 	view := f.state.View()
 	f.view.Store(&view)
+	close(f.changed)
+	f.changed = make(chan struct{})
 	if f.state.IsReady() && !f.ready.Swap(true) {
 		f.record(follow.Notice{
 			Kind: core.EventReady,
@@ -303,6 +375,8 @@
 	wasLost := f.isLost
 	f.isLost = true
 	f.state.StoreLost()
+	close(f.changed)
+	f.changed = make(chan struct{})
 	f.mu.Unlock()
 	if !wasLost {
 		f.record(follow.Notice{
@@ -346,12 +420,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.config.Clock.Now()
-	if f.interrupt == nil || now.Sub(f.listedAt) < leastListGap {
+	if now.Sub(f.listedAt) < leastListGap {
 		return
 	}
 	f.listedAt = now
 	f.wantsList = true
-	f.interrupt()
+	if f.interrupt != nil {
+		f.interrupt()
+	}
 }
 
 // takeWish tells whether Observe asked for a listing.
@@ -403,6 +479,13 @@
 	return len(f.view.Load().ByName)
 }
 
+// ContactAge returns the time since the store was heard last.
+func (f *Follower) ContactAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config.Clock.Now().Sub(f.contactAt)
+}
+
 // IsReady tells whether the daemon knows configuration and upstreams.
 func (f *Follower) IsReady() bool {
 	return f.ready.Load()
--- /dev/null
+++ b/io/follow/relay.go
@@ -0,0 +1,127 @@
+package follow
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"verbenaway/core"
+)
+
+// ranked returns the members of an availability zone in the order in which they read the
+// store. Daemons whose lists differ choose other readers, which costs a few reads more.
+func ranked(members map[core.HostName]core.Member, zone core.AvailabilityZone) []core.Host {
+	var hosts []core.Host
+	for _, member := range members {
+		if member.Host.AvailabilityZone == zone {
+			hosts = append(hosts, member.Host)
+		}
+	}
+	slices.SortFunc(hosts, func(a, b core.Host) int {
+		x, y := xxhash.Sum64String(string(a.Name)), xxhash.Sum64String(string(b.Name))
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+	return hosts
+}
+
+// source returns the daemon to ask; ok is false if this daemon is to read the store itself.
+func (f *Follower) source(now time.Time) (host core.Host, ok bool) {
+	for i, candidate := range ranked(f.view.Load().ByName, f.config.Self.AvailabilityZone) {
+		if i == mostSources || candidate.Name == f.config.Self.Name {
+			return core.Host{}, false
+		}
+		f.mu.Lock()
+		isResting := now.Before(f.restUntil[candidate.Name])
+		f.mu.Unlock()
+		if !isResting && candidate.PeerAddress != "" {
+			return candidate, true
+		}
+	}
+	return core.Host{}, false
+}
+
+// followRelay asks another daemon of the zone for changes. It returns false if the store is to
+// be read instead.
+func (f *Follower) followRelay(ctx context.Context) bool {
+	if f.config.Relay == nil {
+		return false
+	}
+	host, ok := f.source(f.config.Clock.Now())
+	if !ok {
+		return false
+	}
+	f.mu.Lock()
+	after := f.state.Revision()
+	f.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, relayWait+relayTimeout)
+	defer cancel()
+	f.Counters.Relayed.Add(1)
+	answer, err := f.config.Relay.Follow(callCtx, host.PeerAddress, core.FollowRequest{
+		After: after,
+		Wait:  relayWait,
+	})
+	if err == nil && answer.ContactAge >= 0 && answer.ContactAge < contactLimit && answer.Revision >= after {
+		changes := f.decode(answer.RegistryAnswer)
+		f.update(answer.ContactAge, func(now time.Time) {
+			f.state.Watch(now, changes, answer.Revision)
+		})
+		return true
+	}
+	if ctx.Err() != nil {
+		return true
+	}
+	f.mu.Lock()
+	f.restUntil[host.Name] = f.config.Clock.Now().Add(sourceRest)
+	f.mu.Unlock()
+	// Another candidate, or the store, is asked at once.
+	return f.followRelay(ctx)
+}
+
+// Follow implements core.RelayServer.
+func (f *Follower) Follow(ctx context.Context, request core.FollowRequest) (core.FollowAnswer, error) {
+	timer := time.NewTimer(request.Wait)
+	defer timer.Stop()
+	for {
+		answer, changed, err := f.answer(request)
+		if err != nil || len(answer.Items) > 0 || request.IsWhole || answer.ContactAge < 0 {
+			return answer, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return answer, nil
+		case <-ctx.Done():
+			return answer, ctx.Err()
+		}
+	}
+}
+
+// answer returns what this daemon knows now, and a channel that is closed at the next change.
+func (f *Follower) answer(request core.FollowRequest) (core.FollowAnswer, <-chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	after := request.After
+	if request.IsWhole {
+		after = 0
+	}
+	known, ok := f.state.Since(after)
+	if !ok {
+		return core.FollowAnswer{}, nil, core.Errorf(core.StoreCompacted, "revision %d is too old", request.After)
+	}
+	answer := core.FollowAnswer{
+		RegistryAnswer: known,
+		ContactAge:     f.config.Clock.Now().Sub(f.contactAt),
+	}
+	if f.isLost {
+		answer.ContactAge = -1
+	}
+	return answer, f.changed, nil
+}
