proxy: send large bodies to other zones only after admission

Cause: a body of up to 64 KB went with its request to each gatekeeper that refused it. Change: bodies from 16 KB on wait for the admission if the upstream is in another zone.

--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -179,7 +179,8 @@
 func (c *call) outgoing(s *sending) *http.Request {
 	in := c.request
 	header := c.header
-	if c.stream != nil {
+	asks := c.asksFirst()
+	if asks {
 		header = maps.Clone(header)
 		header["Expect"] = expectContinue
 	}
@@ -212,10 +213,26 @@
 		out.Close = true
 	case len(c.body) == 0:
 		out.TransferEncoding = identity
+	case asks:
+		out.Close = true
 	}
 	return out.WithContext(httptrace.WithClientTrace(c.ctx, &s.trace))
 }
 
+// askBytes is the size from which a body is sent to another availability zone only after the
+// gatekeeper has admitted the request: the bytes of a refused one would be paid for nothing,
+// while the question costs a connection and a round trip.
+const askBytes = 16 << 10
+
+// asksFirst tells whether the gatekeeper is to admit the request before the body is sent.
+func (c *call) asksFirst() bool {
+	if c.stream != nil {
+		return true
+	}
+	isFar := c.choice.Host.AvailabilityZone != c.entry.config.Self.AvailabilityZone
+	return c.entry.config.Dialect != nil && isFar && len(c.body) >= askBytes
+}
+
 var (
 	expectContinue = []string{"100-continue"}
 	identity       = []string{"identity"}
