admit: cold rate from the platform's bounds; gatekeepers tell the expected wait

Cause: after a loss of power all upstreams are cold for 3 s, and requests went from one gatekeeper without a place to the next, each of them unknown to the entry as cold.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -394,11 +394,23 @@
 	if hold == 0 && !ticket.request.Target.IsZero() {
 		hold = time.Duration(unknownHold * float64(ticket.request.Target.Sub(now)))
 	}
-	places := time.Duration(c.ahead(ticket.rank) + 1)
-	limit := time.Duration(max(c.limit(), 1))
-	wait := places * hold / limit
+	return c.waitFor(now, ticket.rank, hold)
+}
+
+// waitFor returns how long a new request of a rank will wait if each holds a slot for a time.
+func (c *Controller) waitFor(now time.Time, rank int, hold time.Duration) time.Duration {
+	ahead := time.Duration(c.ahead(rank))
+	var wait time.Duration
+	if free := c.limit() - c.inFlight; free <= 0 {
+		wait = (ahead + 1) * hold / time.Duration(max(c.limit(), 1))
+	}
 	if c.isCold(now) {
-		wait = max(wait, places*time.Second/time.Duration(c.coldPerSecond()))
+		perSecond := c.coldPerSecond()
+		begin := ahead * time.Second / time.Duration(perSecond)
+		if c.pace.left(now, perSecond) == 0 {
+			begin += max(c.pace.next(perSecond).Sub(now), 0)
+		}
+		wait = max(wait, begin)
 	}
 	return wait
 }
--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -96,14 +96,9 @@
 	return now.Before(c.upstream.ColdUntil) || now.Before(c.doubtUntil)
 }
 
-// coldHeadroom is the multiple of the rate of a cold start that is used. The platform allows
-// 1.5 times the rate and a few requests more; the rest is for requests that reach the upstream
-// closer together than they were admitted.
-const coldHeadroom = 1.4
-
 // coldPerSecond returns how many requests may begin within a second of a cold start.
 func (c *Controller) coldPerSecond() int {
-	return max(int(c.service.ColdRate*coldHeadroom), 1)
+	return max(int(c.service.ColdRate), 1)
 }
 
 // mayBegin tells whether the rate of a cold start, if there is one, allows a request now.
@@ -138,8 +133,26 @@
 	return inFlight, limit
 }
 
-// Hold returns how long a request of a route occupies a slot, and the share of the latest
-// requests that came to nothing.
-func (c *Controller) Hold(route core.RouteName) (held time.Duration, failures float64) {
-	return c.holds.of(route), c.holds.failures
+// Outlook is what a new request of a route can expect.
+type Outlook struct {
+	// Wait is the time until it begins, Hold the time for which it holds a slot.
+	Wait time.Duration
+	Hold time.Duration
+	// Failures is the share of the latest requests that came to nothing.
+	Failures float64
+}
+
+// Outlook returns what a new request of a route can expect.
+func (c *Controller) Outlook(now time.Time, route core.RouteName) Outlook {
+	spec := c.snapshot.Routes[route]
+	hold := c.holds.of(route)
+	usual := c.holds.all
+	if usual == 0 {
+		usual = time.Duration(unknownHold * float64(spec.LatencyTarget))
+	}
+	return Outlook{
+		Wait:     c.waitFor(now, rankOf(spec), usual),
+		Hold:     hold,
+		Failures: c.holds.failures,
+	}
 }
--- a/core/config.go
+++ b/core/config.go
@@ -40,8 +40,8 @@
 	ReservedSlots int `toml:"reservedSlots" json:"reservedSlots"`
 	// HomeRegions limits where the service lives; empty means everywhere.
 	HomeRegions []Region `toml:"homeRegions,omitempty" json:"homeRegions,omitempty"`
-	// ColdRate is the number of requests per second that an upstream bears in a cold start; 0
-	// means that ColdSlots alone bounds it. Notes do not carry it.
+	// ColdRate is the number of requests that may reach an upstream within any second of a
+	// cold start; 0 means that ColdSlots alone bounds it. Notes do not carry it.
 	ColdRate float64 `toml:"-" json:"-"`
 	// HealthPath answers whether the upstream is well. Notes do not carry it.
 	HealthPath string `toml:"-" json:"-"`
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -56,7 +56,9 @@
 type Condition struct {
 	InFlight int
 	Limit    int
-	// Hold is how long a request of the route occupies a slot, 0 if unknown.
+	// Wait is how long a new request of the route would wait for a slot, Hold how long it
+	// would occupy one; 0 if unknown.
+	Wait time.Duration
 	Hold time.Duration
 	// Failures is the share of requests that came to nothing lately, from 0 to 1.
 	Failures float64
@@ -67,6 +69,7 @@
 	u := choice.upstream
 	u.report(now, condition.InFlight, condition.Limit)
 	u.failures.Store(math.Float64bits(condition.Failures))
+	u.freeAt.Store(now.Add(condition.Wait).UnixNano())
 	if condition.Hold <= 0 {
 		return
 	}
@@ -208,8 +211,9 @@
 	share += fullCost * min(use, 1) * min(use, 1)
 	if use > 1 {
 		share += surplusCost * (use - 1)
-		expected += time.Duration((use - 1) * float64(c.hold))
 	}
+	wait := time.Duration(max(use-1, 0) * float64(c.hold))
+	expected += max(wait, time.Duration(c.upstream.freeAt.Load()-now.UnixNano()))
 	used := expected.Seconds() / query.target().Seconds()
 	share += timeCost*used + hurryCost*max(used-comfortable, 0)
 	if until := c.upstream.passedUntil.Load(); until != 0 {
@@ -223,5 +227,5 @@
 // isFull tells whether one more request exceeds what the upstream is known to bear.
 func (u *upstream) isFull(now time.Time, slots int) bool {
 	inFlight, limit := u.use(now, slots)
-	return inFlight > limit
+	return inFlight > limit || u.freeAt.Load() > now.UnixNano()
 }
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -58,6 +58,8 @@
 	refusals    atomic.Int32
 	// failures holds the bits of the share of requests that came to nothing.
 	failures atomic.Uint64
+	// freeAt is when a slot was expected to be free, in Unix nanoseconds.
+	freeAt atomic.Int64
 	// mu guards holds.
 	mu    sync.Mutex
 	holds map[core.RouteName]hold
--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -92,7 +92,7 @@
 
 // learnLoad takes the load of an upstream from HeaderLoad.
 func (c *call) learnLoad(text string) {
-	var numbers [4]int
+	var numbers [5]int
 	count := 0
 	for part := range strings.SplitSeq(text, "/") {
 		number, err := strconv.Atoi(part)
@@ -110,8 +110,9 @@
 		balancer.ReportCondition(now, c.choice, c.route.Spec.Name, route.Condition{
 			InFlight: numbers[0],
 			Limit:    numbers[1],
-			Hold:     time.Duration(numbers[2]) * time.Microsecond,
-			Failures: float64(numbers[3]) / permille,
+			Wait:     time.Duration(numbers[2]) * time.Microsecond,
+			Hold:     time.Duration(numbers[3]) * time.Microsecond,
+			Failures: float64(numbers[4]) / permille,
 		})
 	}
 }
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -353,14 +353,18 @@
 	load = strconv.AppendInt(load, int64(c.inFlight), 10)
 	load = append(load, '/')
 	load = strconv.AppendInt(load, int64(c.limit), 10)
-	if c.gate.config.Upstream != nil {
+	if c.gate.config.Upstream != nil && c.snapshot != nil {
 		c.gate.mu.Lock()
-		held, failures := c.gate.admission.Hold(c.admitted.Route)
+		outlook := c.gate.admission.Outlook(c.gate.config.Clock.Now(), c.admitted.Route)
 		c.gate.mu.Unlock()
-		load = append(load, '/')
-		load = strconv.AppendInt(load, held.Microseconds(), 10)
-		load = append(load, '/')
-		load = strconv.AppendInt(load, int64(failures*permille), 10)
+		for _, number := range [...]int64{
+			outlook.Wait.Microseconds(),
+			outlook.Hold.Microseconds(),
+			int64(outlook.Failures * permille),
+		} {
+			load = append(load, '/')
+			load = strconv.AppendInt(load, number, 10)
+		}
 	}
 	header[keyLoad] = []string{string(load)}
 	if c.body != nil && !c.body.isAtEnd() {
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -31,8 +31,9 @@
 	// HeaderRetryAfter in a refusal is when room is expected, in whole milliseconds.
 	HeaderRetryAfter = "Verbenaway-RetryAfterMs"
 	// HeaderLoad in an answer is "inFlight/limit" of the upstream that gave it. Where upstreams
-	// register themselves, "/holdUs/failedPermille" follows: the usual microseconds of a request
-	// of the route, and the share of the latest requests that came to nothing.
+	// register themselves, "/waitUs/holdUs/failedPermille" follows: the microseconds for which a
+	// new request of the route would wait for a slot and hold it, and the share of the latest
+	// requests that came to nothing.
 	HeaderLoad = "Verbenaway-Load"
 	// HeaderError in an answer is the error kind of a refusal.
 	HeaderError = "Verbenaway-Error"
