proxy: a request stops looking for room after four full gatekeepers

Ruled out: the wait in the queue (the gatekeepers declined at once). Change: the search ends after four gatekeepers without room, or after 0.12 of the latency target and at least 60 ms.

--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -54,8 +54,10 @@
 	// mayHaveRun is set once an attempt ended without certainty. From then on no answer of
 	// the entry claims that the request did not run.
 	mayHaveRun bool
-	// arrivals counts the attempts that an upstream may have got.
+	// arrivals counts the attempts that an upstream may have got, fullOnes those that a
+	// gatekeeper without room declined.
 	arrivals int
+	fullOnes int
 	// retryAfter is the shortest time after which a gatekeeper expects room.
 	retryAfter time.Duration
 }
@@ -138,6 +140,9 @@
 	if r.failure.Arrived {
 		c.arrivals++
 	}
+	if r.isFull() {
+		c.fullOnes++
+	}
 	if r.retryAfter > 0 && (c.retryAfter == 0 || r.retryAfter < c.retryAfter) {
 		c.retryAfter = r.retryAfter
 	}
@@ -149,6 +154,9 @@
 func (c *call) nextUpstream(r result, budget core.RetryBudget) (time.Duration, bool) {
 	config := &c.entry.config
 	now := config.Clock.Now()
+	if r.isFull() && c.hasSearched(now) {
+		return 0, false
+	}
 	if c.arrivals == 0 {
 		return retry.DeclinedPace.Free(now, c.deadline, c.attempts, config.Random())
 	}
@@ -163,6 +171,28 @@
 	return pace.Next(now, c.deadline, c.arrivals, budget, config.Random())
 }
 
+const (
+	// mostFull bounds the gatekeepers without room that a request is offered to: each one
+	// tells its backlog, after which others seldom have better news.
+	mostFull = 4
+	// searchShare is the share of the latency target after which the caller is rather sent
+	// away, to come back later, than offered to another full upstream.
+	searchShare = 0.12
+	// leastSearch is allowed whatever the target is: two upstreams in other regions take so
+	// long to decline.
+	leastSearch = 60 * time.Millisecond
+)
+
+// hasSearched tells whether a request has been declined for lack of room often or long enough.
+func (c *call) hasSearched(now time.Time) bool {
+	target := c.target
+	if target.IsZero() {
+		target = c.deadline
+	}
+	limit := max(time.Duration(searchShare*float64(target.Sub(c.began))), leastSearch)
+	return c.fullOnes >= mostFull || now.Sub(c.began) > limit
+}
+
 // refresh takes the newest configuration for another attempt, which may come seconds after
 // the first one: by then a zone may be out or the home regions others.
 func (c *call) refresh() (core.Kind, string) {
