proxy: leave hosts that give no sign of life; fault tables of the platform's path

Ruled out: connections (the kernel of a frozen host still acknowledges). Change: entries notice that answers are missing for the requests that are outstanding, pass the host over, and try idempotent requests elsewhere. Tests: TestFrozenHost, TestSilentUpstream, TestMeshFaults and others.

--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -81,7 +81,9 @@
 	// OtherRegion tells that the request leaves the region.
 	OtherRegion bool
 	// HasRoom tells that the upstream seemed to have a free slot.
-	HasRoom  bool
+	HasRoom bool
+	// usual is the time that an answer is expected to take.
+	usual    time.Duration
 	upstream *upstream
 }
 
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -120,6 +120,8 @@
 		if best := b.cheapest(now, query, candidates); best != nil {
 			choice = begin(best.upstream, best.tier.distance == otherRegion)
 			choice.HasRoom = !best.upstream.isFull(now, g.slots)
+			choice.usual = best.hold
+			best.upstream.asked(now)
 			return choice, true
 		}
 	}
@@ -201,6 +203,9 @@
 	inFlight, limit := c.upstream.use(now, 1)
 	use := inFlight / limit
 	share := failureCost * c.upstream.failureShare(now)
+	if c.upstream.isSilent(now, c.hold) {
+		share += silentCost
+	}
 	switch c.tier.distance {
 	case sameRegion:
 		share += otherZoneCost + bytes/otherZoneBytes
--- a/core/route/cost_test.go
+++ b/core/route/cost_test.go
@@ -244,3 +244,39 @@
 		}
 	}
 }
+
+// TestFrozenHost guards against requests that are sent to a host that has stopped answering:
+// the others would answer them in time.
+func TestFrozenHost(t *testing.T) {
+	c := qt.New(t)
+	rig := newCostRig()
+	const usual = 160 * time.Millisecond
+	for _, name := range []core.HostName{"a1", "a2", "b1", "b2"} {
+		rig.learn(name, route.Condition{InFlight: 2, Limit: 18, Hold: usual})
+	}
+	// The host a1 freezes; a request comes every 20 ms, and other hosts answer after 160 ms.
+	type pending struct {
+		choice route.Choice
+		due    time.Time
+	}
+	var waiting []pending
+	lost := 0
+	for range 100 {
+		rig.now = rig.now.Add(20 * time.Millisecond)
+		choice, ok := rig.balancer.ChooseByCost(rig.now, rig.query)
+		c.Assert(ok, qt.IsTrue)
+		if choice.Host.Name == "a1" {
+			lost++
+		} else {
+			waiting = append(waiting, pending{choice: choice, due: rig.now.Add(usual)})
+		}
+		for len(waiting) > 0 && !waiting[0].due.After(rig.now) {
+			rig.balancer.ReportCondition(rig.now, waiting[0].choice, "lookup", route.Condition{InFlight: 2, Limit: 18, Hold: usual})
+			rig.balancer.Release(waiting[0].choice)
+			waiting = waiting[1:]
+		}
+	}
+	// 500 ms are lost at the most, and nothing sound is left for silent.
+	c.Assert(lost <= 25, qt.IsTrue, qt.Commentf("%d requests went to the frozen host", lost))
+	c.Assert(len(waiting) < 25, qt.IsTrue)
+}
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -60,6 +60,9 @@
 	failures atomic.Uint64
 	// freeAt is when a slot was expected to be free, in Unix nanoseconds.
 	freeAt atomic.Int64
+	// quietSince is the time of the latest sign of life, or of the first request after it, in
+	// Unix nanoseconds.
+	quietSince atomic.Int64
 	// mu guards holds.
 	mu    sync.Mutex
 	holds map[core.RouteName]hold
@@ -70,6 +73,7 @@
 	others := max(int64(inFlight)-u.outstanding.Load(), 0)
 	u.load.Store(uint64(uint32(others))<<32 | uint64(uint32(limit)))
 	u.loadAt.Store(now.UnixNano())
+	u.heard(now)
 }
 
 // answered ends a series of refusals.
--- /dev/null
+++ b/io/proxy/dialect_test.go
@@ -0,0 +1,363 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaway/core"
+	"verbenaway/core/retry"
+)
+
+// fakeDialect has the headers X-Id, X-Wait, X-Instance, X-NotRun and X-Signed.
+type fakeDialect struct{}
+
+func (fakeDialect) Timeout(header http.Header) (time.Duration, bool, error) {
+	ms, err := strconv.Atoi(header.Get("X-Wait"))
+	return time.Duration(ms) * time.Millisecond, err == nil, nil
+}
+
+func (fakeDialect) RequestID(header http.Header) string { return header.Get("X-Id") }
+func (fakeDialect) Receive(http.Header)                 {}
+
+func (fakeDialect) Ask(header http.Header, instance string, left time.Duration) {
+	header.Set("X-Instance", instance)
+	header.Set("X-Wait", strconv.FormatInt(left.Milliseconds(), 10))
+}
+
+func (fakeDialect) Examine(request http.Header, _ int, answer http.Header) core.Examination {
+	switch {
+	case answer.Get("X-NotRun") != "":
+		return core.Examination{IsNotRun: true, Kind: core.Overloaded}
+	case answer.Get("X-Signed") == "" || answer.Get("X-Id") != request.Get("X-Id"):
+		return core.Examination{IsForeign: true}
+	}
+	return core.Examination{}
+}
+
+func (fakeDialect) Refuse(header http.Header, refusal core.Refusal) int {
+	header.Set("X-Kind", string(refusal.Kind))
+	if refusal.Kind.Info().NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+// meshHost is a host with a gatekeeper and an upstream, whose handler the test sets.
+type meshHost struct {
+	member   core.Member
+	gate     *Gate
+	server   *httptest.Server
+	upstream *httptest.Server
+	arrived  atomic.Int32
+	// isRegistered is false once the upstream is gone from the registry.
+	isRegistered atomic.Bool
+}
+
+// meshRig is an entry in zone canterbury-1 in front of some hosts, the first in its own zone.
+type meshRig struct {
+	*entryRig
+	hosts []*meshHost
+}
+
+// upstreamHandler answers the requests of one upstream.
+type upstreamHandler func(w http.ResponseWriter, r *http.Request)
+
+// signed answers like a sound upstream.
+func signed(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	w.Header().Set("X-Signed", "1")
+	_, _ = fmt.Fprintf(w, "ran %s by %s", body, r.Header.Get("X-Instance"))
+}
+
+func newMeshRig(t *testing.T, edit func(*core.Snapshot), budget retry.WindowConfig, handlers ...upstreamHandler) *meshRig {
+	t.Helper()
+	rig := &meshRig{}
+	view := &fakeView{
+		snapshot: entrySnapshot(),
+	}
+	for name, spec := range view.snapshot.Routes {
+		spec.LatencyTarget = core.Duration(500 * time.Millisecond)
+		spec.MaxAttempts = 3
+		view.snapshot.Routes[name] = spec
+	}
+	service := view.snapshot.Services["netbook"]
+	service.Connections = 50
+	view.snapshot.Services["netbook"] = service
+	if edit != nil {
+		edit(view.snapshot)
+	}
+	for i, handler := range handlers {
+		rig.addHost(t, view, i, handler)
+	}
+	for _, host := range rig.hosts {
+		view.members = append(view.members, host.member)
+	}
+	rig.entryRig = newEntryRig(t, func(config *EntryConfig) {
+		config.Config, config.Members = view, view
+		config.Dialect = fakeDialect{}
+		config.NewBudget = func(_ core.ServiceName, now time.Time) core.RetryBudget {
+			return retry.NewWindow(budget, now)
+		}
+		config.Self = gateHost("caller", "")
+	})
+	rig.view = view
+	return rig
+}
+
+func (rig *meshRig) addHost(t *testing.T, view *fakeView, i int, handler upstreamHandler) {
+	host := &meshHost{}
+	host.isRegistered.Store(true)
+	host.upstream = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		host.arrived.Add(1)
+		handler(w, r)
+	}))
+	t.Cleanup(host.upstream.Close)
+	self := gateHost(host.upstream.Listener.Addr().String(), "")
+	if i > 0 {
+		self.AvailabilityZone = "canterbury-2"
+	}
+	self.Instance = "i" + strconv.Itoa(i)
+	host.gate = NewGate(GateConfig{
+		Config:          view,
+		Members:         view,
+		Journal:         &fakeJournal{},
+		Clock:           systemClock{},
+		Self:            self,
+		UpstreamAddress: host.upstream.Listener.Addr().String(),
+		Dialect:         fakeDialect{},
+		Upstream: func() (core.Member, bool) {
+			return host.member, host.isRegistered.Load()
+		},
+	})
+	host.server = httptest.NewServer(host.gate)
+	t.Cleanup(host.server.Close)
+	t.Cleanup(host.gate.transport.closeIdle)
+	self.GateAddress = host.server.Listener.Addr().String()
+	host.member = core.Member{
+		Host:  self,
+		Slots: 4,
+	}
+	rig.hosts = append(rig.hosts, host)
+}
+
+// send sends a request with an id and returns its answer.
+func (rig *meshRig) send(method, path, body string) answer {
+	return rig.do(rig.request(method, path, body, func(r *http.Request) {
+		r.Header.Set("X-Id", "id-"+body[:min(len(body), 8)])
+		r.Header.Set("X-Wait", "2000")
+	}))
+}
+
+// generous lets every repeat pass.
+var generous = retry.WindowConfig{
+	Span:  10 * time.Second,
+	Slack: 1000,
+}
+
+// sheds refuses like an upstream that is full.
+func sheds(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-NotRun", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// hangs answers nothing until the caller leaves.
+func hangs(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.ReadAll(r.Body)
+	<-r.Context().Done()
+}
+
+// breaks ends the connection in the middle of an answer.
+func breaks(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	w.Header().Set("X-Signed", "1")
+	w.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(w, "half")
+	panic(http.ErrAbortHandler)
+}
+
+// foreign answers another request.
+func foreign(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Id", "another")
+	w.Header().Set("X-Signed", "1")
+	_, _ = io.WriteString(w, "secret")
+}
+
+// TestMeshFaults guards, for each fault of the nearest upstream, against an order that runs
+// twice, a refusal that is not true, an answer that is not whole, and a lookup that fails
+// though another upstream is sound.
+func TestMeshFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		handler upstreamHandler
+		// orderStatus is the answer to an order; lookups are answered by the sound upstream.
+		orderStatus int
+		// ran is whether an order may have run at the faulty upstream.
+		mayHaveRun bool
+	}{
+		{name: "sheds", handler: sheds, orderStatus: 200},
+		{name: "breaks off its answer", handler: breaks, orderStatus: 502, mayHaveRun: true},
+		{name: "answers another request", handler: foreign, orderStatus: 502, mayHaveRun: true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			rig := newMeshRig(t, nil, generous, tc.handler, signed)
+			got := rig.send("POST", "/order/1", "a")
+			c.Check(got.status, qt.Equals, tc.orderStatus)
+			if tc.mayHaveRun {
+				c.Check(rig.hosts[1].arrived.Load(), qt.Equals, int32(0))
+			} else {
+				c.Check(got.body, qt.Equals, "ran a by i1")
+			}
+			got = rig.send("GET", "/lookup/1", "")
+			c.Check(got.status, qt.Equals, 200)
+			c.Check(got.body, qt.Equals, "ran  by i1")
+		})
+	}
+}
+
+// TestSilentUpstream guards against lookups that wait for a host that gives no sign of life
+// until their time is over, while another one is sound.
+func TestSilentUpstream(t *testing.T) {
+	c := qt.New(t)
+	rig := newMeshRig(t, nil, generous, hangs, signed)
+	var group sync.WaitGroup
+	answers := make(chan answer, 8)
+	for range 8 {
+		group.Go(func() {
+			answers <- rig.send("GET", "/lookup/1", "")
+		})
+	}
+	group.Wait()
+	close(answers)
+	for got := range answers {
+		c.Check(got.status, qt.Equals, 200)
+		c.Check(got.body, qt.Equals, "ran  by i1")
+	}
+}
+
+// TestRepeatsStayInBudget guards against repeats beyond the budget while every upstream sheds,
+// and against a refusal that does not say that the request has not run.
+func TestRepeatsStayInBudget(t *testing.T) {
+	c := qt.New(t)
+	rig := newMeshRig(t, nil, retry.WindowConfig{
+		Span:  10 * time.Second,
+		Ratio: 0.2,
+		Slack: 3,
+	}, sheds, sheds, sheds)
+	const requests = 50
+	for i := range requests {
+		got := rig.send("POST", "/order/1", strconv.Itoa(i))
+		c.Assert(got.status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	arrivals := int32(0)
+	for _, host := range rig.hosts {
+		arrivals += host.arrived.Load()
+	}
+	c.Assert(arrivals <= requests+requests/5+3, qt.IsTrue, qt.Commentf("%d arrivals of %d requests", arrivals, requests))
+	c.Assert(arrivals > requests, qt.IsTrue, qt.Commentf("%d arrivals of %d requests", arrivals, requests))
+}
+
+// TestDeclinedByGatekeepersIsFree guards against a budget that is spent on upstreams that never
+// saw the request: without any budget the third host serves.
+func TestDeclinedByGatekeepersIsFree(t *testing.T) {
+	c := qt.New(t)
+	rig := newMeshRig(t, nil, retry.WindowConfig{Span: 10 * time.Second}, signed, signed, signed)
+	rig.hosts[0].isRegistered.Store(false)
+	rig.hosts[1].isRegistered.Store(false)
+	got := rig.send("POST", "/order/1", "a")
+	c.Assert(got.status, qt.Equals, 200)
+	c.Assert(got.body, qt.Equals, "ran a by i2")
+	c.Assert(rig.hosts[0].arrived.Load()+rig.hosts[1].arrived.Load(), qt.Equals, int32(0))
+}
+
+// TestMaxAttempts guards against a request that reaches more upstreams than its route allows.
+func TestMaxAttempts(t *testing.T) {
+	c := qt.New(t)
+	rig := newMeshRig(t, func(snapshot *core.Snapshot) {
+		spec := snapshot.Routes["lookup"]
+		spec.MaxAttempts = 2
+		snapshot.Routes["lookup"] = spec
+	}, generous, breaks, breaks, breaks, breaks)
+	got := rig.send("GET", "/lookup/1", "")
+	c.Assert(got.status, qt.Equals, http.StatusBadGateway)
+	arrivals := int32(0)
+	for _, host := range rig.hosts {
+		arrivals += host.arrived.Load()
+	}
+	c.Assert(arrivals, qt.Equals, int32(2))
+}
+
+// TestRouteTimeoutBounds guards against an answer that comes later than the route's timeout
+// though the caller waits longer.
+func TestRouteTimeoutBounds(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			c := qt.New(t)
+			rig := newMeshRig(t, func(snapshot *core.Snapshot) {
+				for name, spec := range snapshot.Routes {
+					spec.Timeout = core.Duration(300 * time.Millisecond)
+					snapshot.Routes[name] = spec
+				}
+			}, retry.WindowConfig{Span: time.Second}, hangs)
+			begin := time.Now()
+			path := "/lookup/1"
+			if method == "POST" {
+				path = "/order/1"
+			}
+			got := rig.send(method, path, "")
+			c.Assert(got.status, qt.Equals, http.StatusBadGateway)
+			c.Assert(time.Since(begin) < 800*time.Millisecond, qt.IsTrue)
+		})
+	}
+}
+
+// TestDeadUpstream guards against work that waits for an upstream that takes no connection.
+func TestDeadUpstream(t *testing.T) {
+	c := qt.New(t)
+	rig := newMeshRig(t, nil, retry.WindowConfig{Span: time.Second}, signed, signed)
+	rig.hosts[0].upstream.Close()
+	for i := range 5 {
+		begin := time.Now()
+		got := rig.send("POST", "/order/1", strconv.Itoa(i))
+		c.Assert(got.status, qt.Equals, 200)
+		c.Assert(time.Since(begin) < 300*time.Millisecond, qt.IsTrue)
+	}
+	c.Assert(rig.hosts[1].arrived.Load(), qt.Equals, int32(5))
+}
+
+// TestDeadHost guards against an order that is lost because the daemon beside the nearest
+// upstream is gone: nothing was sent to it.
+func TestDeadHost(t *testing.T) {
+	c := qt.New(t)
+	rig := newMeshRig(t, nil, retry.WindowConfig{Span: time.Second}, signed, signed)
+	rig.hosts[0].server.Close()
+	got := rig.send("POST", "/order/1", "a")
+	c.Assert(got.status, qt.Equals, 200)
+	c.Assert(got.body, qt.Equals, "ran a by i1")
+}
+
+// TestLargeBodyAcrossZones guards against a body that crosses to another zone for a refusal,
+// and one that does not arrive whole.
+func TestLargeBodyAcrossZones(t *testing.T) {
+	c := qt.New(t)
+	rig := newMeshRig(t, nil, retry.WindowConfig{Span: time.Second}, signed, signed, signed)
+	rig.hosts[0].isRegistered.Store(false)
+	body := make([]byte, 50_000)
+	for i := range body {
+		body[i] = 'a' + byte(i%23)
+	}
+	got := rig.send("POST", "/order/1", string(body))
+	c.Assert(got.status, qt.Equals, 200)
+	c.Assert(len(got.body), qt.Equals, len("ran  by i1")+len(body))
+}
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -40,6 +40,8 @@
 	target time.Time
 	ctx    context.Context
 	cancel context.CancelFunc
+	// tryCtx is that of the current attempt.
+	tryCtx context.Context
 	// A body is either kept or streamed, or there is none.
 	body   []byte
 	buffer *[]byte
@@ -233,12 +235,7 @@
 	c.decide(core.DecisionSent, result{})
 	c.header[keyTimeout] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
 	c.entry.Counters.Attempts.Add(1)
-	var r result
-	if c.entry.config.LocalGate != nil && c.choice.Host.Name == c.entry.config.Self.Name {
-		r = c.sendLocal()
-	} else {
-		r = c.sendRemote()
-	}
+	r := c.send()
 	if !r.answered {
 		balancer.Refused(c.entry.config.Clock.Now(), c.choice, r.failure.Kind)
 		if c.choice.HasRoom && r.isFull() && c.entry.config.Dialect != nil {
@@ -249,6 +246,23 @@
 	return r
 }
 
+// send sends the request to the chosen gatekeeper.
+func (c *call) send() result {
+	var watch *silenceWatch
+	c.tryCtx, watch = c.watchSilence()
+	defer watch.stop()
+	var r result
+	if c.entry.config.LocalGate != nil && c.choice.Host.Name == c.entry.config.Self.Name {
+		r = c.sendLocal()
+	} else {
+		r = c.sendRemote()
+	}
+	if !r.answered && watch.hasEnded() && c.ctx.Err() == nil {
+		return c.broken(string(c.choice.Host.Name) + " gives no sign of life")
+	}
+	return r
+}
+
 // isFull tells whether a gatekeeper had no room.
 func (r result) isFull() bool {
 	return !r.failure.Arrived && (r.failure.Kind == core.Overloaded || r.failure.Kind == core.Cold)
--- a/io/proxy/entry_local.go
+++ b/io/proxy/entry_local.go
@@ -54,7 +54,7 @@
 
 // incoming builds the request as the gate's own server would.
 func (c *call) incoming() *http.Request {
-	in := c.request.WithContext(c.ctx)
+	in := c.request.WithContext(c.tryCtx)
 	in.Header = c.header
 	in.Body = http.NoBody
 	if c.stream != nil || len(c.body) > 0 {
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -216,7 +216,7 @@
 	case asks:
 		out.Close = true
 	}
-	return out.WithContext(httptrace.WithClientTrace(c.ctx, &s.trace))
+	return out.WithContext(httptrace.WithClientTrace(c.tryCtx, &s.trace))
 }
 
 // askBytes is the size from which a body is sent to another availability zone only after the
