admit: failures that an upstream answers count as failures

Change: answers with a server failure count in the share of failures and not in the usual time. Test: TestFailuresAreTold.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -57,6 +57,7 @@
 	request      Request
 	class        core.RequestClass
 	rank         int
+	isFailed     bool
 	state        ticketState
 	epoch        uint64
 	doubts       uint64
@@ -215,9 +216,13 @@
 // empty if the upstream sent none.
 func (c *Controller) Report(now time.Time, ticket *Ticket, signal Signal, bootID string) {
 	c.ramp.observeBoot(bootID)
-	if signal == SignalAnswered {
+	if signal == SignalAnswered || signal == SignalFailed {
 		c.ramp.confirm(bootID, ticket.doubts)
 	}
+	if signal != SignalNone {
+		ticket.isFailed = signal != SignalAnswered
+		c.holds.count(ticket.isFailed)
+	}
 	switch signal {
 	case SignalShed:
 		c.ramp.fall("the upstream shed a request")
@@ -248,8 +253,7 @@
 	}
 	ticket.state = ticketDone
 	c.inFlight--
-	c.holds.count(!success)
-	if success {
+	if success && !ticket.isFailed {
 		c.holds.observe(ticket.request.Route, now.Sub(ticket.begun))
 	}
 	if ticket.class == core.ClassBulk {
--- a/core/admit/load_test.go
+++ b/core/admit/load_test.go
@@ -325,3 +325,38 @@
 		})
 	}
 }
+
+// TestFailuresAreTold guards against an upstream that answers quickly with failures and looks
+// like the fastest and least loaded one of its service.
+func TestFailuresAreTold(t *testing.T) {
+	c := qt.New(t)
+	rig := newLoadRig(0)
+	run := func(hold time.Duration, signal admit.Signal) {
+		ticket := &admit.Ticket{}
+		decision := rig.controller.Offer(rig.now, admit.Request{
+			Route:    "lookup",
+			Service:  "s",
+			Deadline: rig.now.Add(time.Second),
+			Target:   rig.now.Add(time.Second),
+		}, ticket)
+		c.Assert(decision, qt.DeepEquals, admit.Decision{})
+		rig.now = rig.now.Add(hold)
+		rig.controller.Report(rig.now, ticket, signal, "")
+		rig.controller.Finish(rig.now, ticket, signal == admit.SignalAnswered || signal == admit.SignalFailed)
+	}
+	for range 30 {
+		run(160*time.Millisecond, admit.SignalAnswered)
+	}
+	outlook := rig.controller.Outlook(rig.now, "lookup")
+	c.Assert(outlook.Failures < 0.01, qt.IsTrue)
+	for range 20 {
+		run(time.Millisecond, admit.SignalFailed)
+	}
+	outlook = rig.controller.Outlook(rig.now, "lookup")
+	c.Assert(outlook.Failures > 0.8, qt.IsTrue, qt.Commentf("%v", outlook))
+	c.Assert(outlook.Hold > 100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", outlook))
+	// Callers who leave say nothing about the upstream.
+	before := outlook.Failures
+	run(time.Millisecond, admit.SignalNone)
+	c.Assert(rig.controller.Outlook(rig.now, "lookup").Failures, qt.Equals, before)
+}
--- a/core/admit/ramp.go
+++ b/core/admit/ramp.go
@@ -15,6 +15,8 @@
 	SignalNone Signal = iota
 	// SignalAnswered is the start of an answer.
 	SignalAnswered
+	// SignalFailed is the start of an answer that tells of a failure of the upstream.
+	SignalFailed
 	// SignalShed is an answer that refuses the request because of load.
 	SignalShed
 	// SignalRefused is a connection that could not be opened.
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -87,7 +87,11 @@
 		return core.Overloaded, "the upstream sheds load"
 	}
 	c.outcome = gateDone
-	c.report(admit.SignalAnswered, bootID)
+	signal := admit.SignalAnswered
+	if response.StatusCode >= http.StatusInternalServerError {
+		signal = admit.SignalFailed
+	}
+	c.report(signal, bootID)
 	return c.answer(response)
 }
 
@@ -117,6 +121,7 @@
 		c.report(admit.SignalReset, "")
 		return c.lostKind(true), found.Detail
 	case found.IsNotRun:
+		c.report(admit.SignalShed, "")
 		gateDiscard(response.Body)
 		c.outcome = gateNotRun
 		return found.Kind, found.Detail
