follow: one reader a region, stale first content, cheap probes in an outage

Change: the first daemon of a region reads for its zones; the first content may be stale, and is confirmed before the daemon serves; after a failure the cheapest call probes the store.

--- a/core/registry.go
+++ b/core/registry.go
@@ -10,8 +10,9 @@
 // StoreCompacted.
 type Registry interface {
 	// List returns everything that the store holds. A key that the answer lacks and that last
-	// changed at or before its revision is deleted.
-	List(ctx context.Context) (RegistryAnswer, error)
+	// changed at or before its revision is deleted. A stale answer may be seconds old; it costs
+	// less.
+	List(ctx context.Context, mayBeStale bool) (RegistryAnswer, error)
 	// Watch returns the changes after a revision in the order of their revisions, or none
 	// after the wait.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (RegistryAnswer, error)
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -18,7 +18,9 @@
 	// watchGap is the least time between the answers of two watches, so that changes in quick
 	// succession share a call. It is small against the two seconds within which a zone or an
 	// upstream has to be left.
-	watchGap = 350 * time.Millisecond
+	watchGap = 450 * time.Millisecond
+	// firstWatchWait is how long the watch after the first, stale content is parked.
+	firstWatchWait = 10 * time.Millisecond
 	// watchShare is the part of the store's rate that watches use at the most.
 	watchShare = 0.5
 	// pulseInterval spaces the cheap stale reads of a reader. They show whether its watch is
@@ -32,8 +34,10 @@
 	relayWait = 400 * time.Millisecond
 	// relayTimeout bounds the answer of another daemon beyond that.
 	relayTimeout = 250 * time.Millisecond
-	// sourceRest is how long a daemon that gave no answer is not asked again.
+	// sourceRest is how long a daemon that gave no answer is not asked again, shortRest how
+	// long one that does not hear the store, as after its start.
 	sourceRest = 2 * time.Second
+	shortRest  = 500 * time.Millisecond
 	// mostSources bounds the daemons that are asked before the store is.
 	mostSources = 2
 	// firstBackoff and longestBackoff bound the pause after a failed call. The longest is
@@ -73,8 +77,9 @@
 // Follower follows a registry. It implements core.ConfigView, core.MemberView and
 // core.RelayServer.
 //
-// In each availability zone the first daemons by rank read the store; the others ask them and
-// turn to the store only if they do not answer or do not hear the store themselves.
+// In each region the first daemon by rank reads the store, the first of each other zone asks
+// it, and the others ask the first of their zone. A daemon turns to the store itself if those
+// that it asks do not answer or do not hear the store.
 type Follower struct {
 	Counters Counters
 
@@ -88,6 +93,8 @@
 	// changed is closed and replaced at each change of the state.
 	changed chan struct{}
 	isLost  bool
+	// isStale says that the content has not been confirmed since a stale read.
+	isStale bool
 	// contactAt is when the store was heard last, by this daemon or the one it follows.
 	contactAt time.Time
 	listedAt  time.Time
@@ -166,7 +173,10 @@
 			backoff = firstBackoff
 			continue
 		}
-		err := f.step(ctx, isComplete)
+		err := f.probe(ctx)
+		if err == nil {
+			err = f.step(ctx, isComplete)
+		}
 		switch {
 		case err == nil:
 			isComplete = true
@@ -186,15 +196,33 @@
 	}
 }
 
-// step makes one call of the store.
+// probe asks the cheapest question of the store after a failure: all daemons turn to it in an
+// outage, and each call is priced.
+func (f *Follower) probe(ctx context.Context) error {
+	f.mu.Lock()
+	isLost := f.isLost
+	f.mu.Unlock()
+	if !isLost {
+		return nil
+	}
+	f.Counters.Pulses.Add(1)
+	_, err := f.config.Registry.Revision(ctx)
+	return err
+}
+
+// step makes one call of the store. The first content may be stale, which costs less, because
+// the next call continues from its revision.
 func (f *Follower) step(ctx context.Context, isComplete bool) error {
 	if !isComplete {
+		f.mu.Lock()
+		isFirst := f.state.Revision() == 0
+		f.mu.Unlock()
 		f.Counters.Lists.Add(1)
-		listing, err := f.config.Registry.List(ctx)
+		listing, err := f.config.Registry.List(ctx, isFirst)
 		if err != nil {
 			return err
 		}
-		f.list(listing)
+		f.list(listing, isFirst)
 		return nil
 	}
 	f.mu.Lock()
@@ -208,7 +236,12 @@
 	after := f.state.Revision()
 	f.mu.Unlock()
 	f.Counters.Watches.Add(1)
-	answer, err := f.config.Registry.Watch(watchCtx, after, f.config.WatchWait)
+	wait := f.config.WatchWait
+	if !f.ready.Load() {
+		// The answer confirms that the first content is the newest.
+		wait = firstWatchWait
+	}
+	answer, err := f.config.Registry.Watch(watchCtx, after, wait)
 	f.mu.Lock()
 	f.interrupt = nil
 	f.mu.Unlock()
@@ -217,15 +250,19 @@
 	}
 	changes := f.decode(answer)
 	f.update(0, func(now time.Time) {
+		f.isStale = false
 		f.watchedAt = now
 		f.state.Watch(now, changes, answer.Revision)
 	})
 	return nil
 }
 
-// list takes over the whole content.
-func (f *Follower) list(listing core.RegistryAnswer) {
+// list takes over the whole content. The daemon serves only from content that is not stale.
+func (f *Follower) list(listing core.RegistryAnswer, isStale bool) {
 	changes := f.decode(listing)
+	f.mu.Lock()
+	f.isStale = isStale
+	f.mu.Unlock()
 	f.update(0, func(now time.Time) {
 		f.listedAt = now
 		f.state.List(now, changes, listing.Revision)
@@ -350,7 +387,7 @@
 	f.view.Store(&view)
 	close(f.changed)
 	f.changed = make(chan struct{})
-	if f.state.IsReady() && !f.ready.Swap(true) {
+	if f.state.IsReady() && !f.isStale && !f.ready.Swap(true) {
 		f.record(follow.Notice{
 			Kind: core.EventReady,
 		})
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -91,7 +91,7 @@
 	r.changed = make(chan struct{})
 }
 
-func (r *fakeRegistry) List(ctx context.Context) (core.RegistryAnswer, error) {
+func (r *fakeRegistry) List(ctx context.Context, _ bool) (core.RegistryAnswer, error) {
 	if err := r.await(ctx); err != nil {
 		return core.RegistryAnswer{}, err
 	}
@@ -136,11 +136,10 @@
 	deadline := time.After(wait)
 	r.mu.Lock()
 	r.watches++
-	isSilent := r.isSilent
 	r.mu.Unlock()
 	for {
 		r.mu.Lock()
-		isSilent = isSilent || r.isCut
+		isSilent := r.isSilent || r.isCut
 		changed, err := r.changed, r.err
 		if r.watchErr != nil {
 			err, r.watchErr = r.watchErr, nil
@@ -293,9 +292,9 @@
 func TestFollowerHint(t *testing.T) {
 	registry := newFakeRegistry()
 	registry.write(1)
-	registry.isSilent = true
 	f := startFollower(t, registry)
 	waitVersion(t, f, 1, applyTime)
+	registry.set(func() { registry.isSilent = true })
 	time.Sleep(leastListGap)
 	registry.mu.Lock()
 	registry.revision++
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -10,12 +10,12 @@
 	"verbenaway/core"
 )
 
-// ranked returns the members of an availability zone in the order in which they read the
-// store. Daemons whose lists differ choose other readers, which costs a few reads more.
-func ranked(members map[core.HostName]core.Member, zone core.AvailabilityZone) []core.Host {
+// ranked returns the members that fit, in the order in which they read the store. Daemons
+// whose lists differ choose other readers, which costs a few reads more.
+func ranked(members map[core.HostName]core.Member, fits func(core.Host) bool) []core.Host {
 	var hosts []core.Host
 	for _, member := range members {
-		if member.Host.AvailabilityZone == zone {
+		if fits(member.Host) {
 			hosts = append(hosts, member.Host)
 		}
 	}
@@ -33,15 +33,36 @@
 }
 
 // source returns the daemon to ask; ok is false if this daemon is to read the store itself.
+// Most daemons ask the first of their availability zone, which asks the first of the region.
 func (f *Follower) source(now time.Time) (host core.Host, ok bool) {
-	for i, candidate := range ranked(f.view.Load().ByName, f.config.Self.AvailabilityZone) {
-		if i == mostSources || candidate.Name == f.config.Self.Name {
+	members := f.view.Load().ByName
+	zone := ranked(members, func(host core.Host) bool {
+		return host.AvailabilityZone == f.config.Self.AvailabilityZone
+	})
+	if host, ok = f.before(now, zone, mostSources); ok {
+		return host, true
+	}
+	leaders := map[core.AvailabilityZone]bool{}
+	region := ranked(members, func(host core.Host) bool {
+		return host.Region == f.config.Self.Region
+	})
+	region = slices.DeleteFunc(region, func(host core.Host) bool {
+		isLeader := !leaders[host.AvailabilityZone]
+		leaders[host.AvailabilityZone] = true
+		return !isLeader && host.Name != f.config.Self.Name
+	})
+	return f.before(now, region, 1)
+}
+
+// before returns the first daemon that can be asked among those that rank before this one.
+func (f *Follower) before(now time.Time, hosts []core.Host, most int) (host core.Host, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, candidate := range hosts {
+		if i == most || candidate.Name == f.config.Self.Name {
 			return core.Host{}, false
 		}
-		f.mu.Lock()
-		isResting := now.Before(f.restUntil[candidate.Name])
-		f.mu.Unlock()
-		if !isResting && candidate.PeerAddress != "" {
+		if !now.Before(f.restUntil[candidate.Name]) && candidate.PeerAddress != "" {
 			return candidate, true
 		}
 	}
@@ -71,6 +92,7 @@
 	if err == nil && answer.ContactAge >= 0 && answer.ContactAge < contactLimit && answer.Revision >= after {
 		changes := f.decode(answer.RegistryAnswer)
 		f.update(answer.ContactAge, func(now time.Time) {
+			f.isStale = false
 			f.state.Watch(now, changes, answer.Revision)
 		})
 		return true
@@ -78,8 +100,12 @@
 	if ctx.Err() != nil {
 		return true
 	}
+	rest := sourceRest
+	if core.KindOf(err) != core.PeerUnreachable {
+		rest = shortRest
+	}
 	f.mu.Lock()
-	f.restUntil[host.Name] = f.config.Clock.Now().Add(sourceRest)
+	f.restUntil[host.Name] = f.config.Clock.Now().Add(rest)
 	f.mu.Unlock()
 	// Another candidate, or the store, is asked at once.
 	return f.followRelay(ctx)
@@ -120,7 +146,7 @@
 		RegistryAnswer: known,
 		ContactAge:     f.config.Clock.Now().Sub(f.contactAt),
 	}
-	if f.isLost {
+	if f.isLost || f.isStale {
 		answer.ContactAge = -1
 	}
 	return answer, f.changed, nil
--- a/io/follow/relay_test.go
+++ b/io/follow/relay_test.go
@@ -158,6 +158,8 @@
 			c := qt.New(t)
 			rig := newZoneRig(t, "d1", "d2", "d3", "d4")
 			rig.waitVersion(t, 1, applyTime)
+			// The daemons that started before their reader knew the store turn to it after a rest.
+			time.Sleep(2 * shortRest)
 			waitUntil(t, 2*sourceRest, func() bool { return len(rig.readers()) == 1 })
 			reader := rig.readers()[0]
 			tc.fault(rig, reader)
@@ -221,7 +223,7 @@
 
 	_, err := client.Follow(t.Context(), address, core.FollowRequest{IsWhole: true})
 	c.Assert(core.KindOf(err), qt.Equals, core.StoreCompacted)
-	f.list(core.RegistryAnswer{Items: registry.items, Revision: 2})
+	f.list(core.RegistryAnswer{Items: registry.items, Revision: 2}, false)
 	answer, err := client.Follow(t.Context(), address, core.FollowRequest{IsWhole: true})
 	c.Assert(err, qt.IsNil)
 	c.Assert(answer.RegistryAnswer, qt.DeepEquals, core.RegistryAnswer{Items: registry.items, Revision: 2})
