route: a host is silent when eight answers to its outstanding requests are missing

Change: each outstanding request adds what it lets expect, eight missing answers count, and a daemon that leaves ends no attempt. Few failures (below 0.2) no longer add cost. Tests: TestLongRequestsAreNoSilence, TestSlowShortRequestIsNoSilence (both failed before).

--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -82,8 +82,8 @@
 	OtherRegion bool
 	// HasRoom tells that the upstream seemed to have a free slot.
 	HasRoom bool
-	// usual is the time that an answer is expected to take.
-	usual    time.Duration
+	// expected is the part of this choice in upstream.expected.
+	expected int64
 	upstream *upstream
 }
 
@@ -292,4 +292,5 @@
 // Release ends an attempt.
 func (b *Balancer) Release(choice Choice) {
 	choice.upstream.outstanding.Add(-1)
+	choice.upstream.expected.Add(-choice.expected)
 }
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -28,8 +28,10 @@
 	// whole latency target.
 	otherZoneBytes   = 600 << 10
 	otherRegionBytes = 120 << 10
-	// failureCost is the addition for an upstream of which no answer is of use.
+	// failureCost is the addition for an upstream of which no answer is of use. A share below
+	// fewFailures says nothing: one failure among the latest requests already reaches half of it.
 	failureCost = 3.0
+	fewFailures = 0.2
 	// regionRoundTrip is the time to another region and back, which the hold does not contain.
 	regionRoundTrip = 25 * time.Millisecond
 	// spreadCost is the range of a random addition: entries that know the same should not
@@ -120,8 +122,7 @@
 		if best := b.cheapest(now, query, candidates); best != nil {
 			choice = begin(best.upstream, best.tier.distance == otherRegion)
 			choice.HasRoom = !best.upstream.isFull(now, g.slots)
-			choice.usual = best.hold
-			best.upstream.asked(now)
+			choice.expected = best.upstream.asked(now, best.hold)
 			return choice, true
 		}
 	}
@@ -202,8 +203,8 @@
 	expected := c.hold
 	inFlight, limit := c.upstream.use(now, 1)
 	use := inFlight / limit
-	share := failureCost * c.upstream.failureShare(now)
-	if c.upstream.isSilent(now, c.hold) {
+	share := failureCost * max(c.upstream.failureShare(now)-fewFailures, 0) / (1 - fewFailures)
+	if c.upstream.isSilent(now) {
 		share += silentCost
 	}
 	switch c.tier.distance {
--- a/core/route/silence.go
+++ b/core/route/silence.go
@@ -7,21 +7,31 @@
 // silence of a few times the usual time of one is no chance.
 const (
 	// expectedAnswers is the number of missing answers after which a host counts as silent.
-	// At random arrival the silence of a sound host is as long in one of 150 cases.
-	expectedAnswers = 5
-	// leastSilence is below the time that a collection of garbage or a busy host takes.
-	leastSilence = 250 * time.Millisecond
+	// At random arrival the silence of a sound host is as long in one of 3,000 cases.
+	expectedAnswers = 8
+	// leastSilence is above the time for which a busy host or a queue delays all answers.
+	leastSilence = 400 * time.Millisecond
+	// leastUsual bounds how soon an answer is expected: short requests wait for long ones.
+	leastUsual = 150 * time.Millisecond
 	// silentCost is the addition for a silent host, more than any load adds.
 	silentCost = 5.0
 )
 
-// asked notes that a request is on its way. The caller has counted it as outstanding.
-func (u *upstream) asked(now time.Time) {
+// asked notes that a request is on its way whose answer usually takes a time. The caller has
+// counted it as outstanding.
+func (u *upstream) asked(now time.Time, usual time.Duration) (expected int64) {
 	if u.outstanding.Load() == 1 {
 		u.quietSince.Store(now.UnixNano())
 	}
+	expected = int64(answerUnit / max(usual, leastUsual))
+	u.expected.Add(expected)
+	return expected
 }
 
+// answerUnit is the time in which upstream.expected counts answers; long enough for whole
+// numbers.
+const answerUnit = 1000 * time.Second
+
 // heard notes a sign of life.
 func (u *upstream) heard(now time.Time) {
 	u.quietSince.Store(now.UnixNano())
@@ -35,23 +45,21 @@
 	return time.Duration(now.UnixNano() - u.quietSince.Load())
 }
 
-// isSilent tells whether answers that take the given time are missing.
-func (u *upstream) isSilent(now time.Time, usual time.Duration) bool {
+// isSilent tells whether the answers to the outstanding requests are missing.
+func (u *upstream) isSilent(now time.Time) bool {
 	silence := u.silence(now)
-	if silence < leastSilence || usual <= 0 {
+	if silence < leastSilence {
 		return false
 	}
-	return float64(silence)*float64(u.outstanding.Load()) > expectedAnswers*float64(usual)
+	missing := float64(silence) / float64(answerUnit) * float64(u.expected.Load())
+	return missing > expectedAnswers
 }
 
 // IsSilent tells whether the host of a choice has shown no sign of life since a time, and for
 // so long that its answers are missing.
 func (b *Balancer) IsSilent(now, since time.Time, choice Choice) bool {
 	u := choice.upstream
-	if u.quietSince.Load() > since.UnixNano() {
-		return false
-	}
-	return u.isSilent(now, choice.usual)
+	return u.quietSince.Load() <= since.UnixNano() && u.isSilent(now)
 }
 
 // Silent passes a silent host over, longer each time.
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -63,6 +63,9 @@
 	// quietSince is the time of the latest sign of life, or of the first request after it, in
 	// Unix nanoseconds.
 	quietSince atomic.Int64
+	// expected is the number of answers to the outstanding requests that usually come within
+	// answerUnit.
+	expected atomic.Int64
 	// mu guards holds.
 	mu    sync.Mutex
 	holds map[core.RouteName]hold
--- a/io/proxy/entry_silence.go
+++ b/io/proxy/entry_silence.go
@@ -53,7 +53,9 @@
 		return
 	}
 	c.entry.balancer.Silent(now, c.choice)
-	if c.idempotent && c.stream == nil {
+	mayRepeat := c.idempotent && c.stream == nil && c.arrivals+1 < c.route.Spec.MaxAttempts
+	// In a planned stop the answer that may still come is worth more than another attempt.
+	if mayRepeat && !c.entry.isLeaving() {
 		w.isEnded = true
 		w.cancel()
 	}
