verbenactl trace: the way of a request over log files; notes refuse fields that they do not carry

A field with the tag "-" would have been accepted in notes under the name "-"; the manual's test found it and now also checks that such a field is refused.

--- a/core/note/shape.go
+++ b/core/note/shape.go
@@ -64,7 +64,9 @@
 	fields := make(map[string]reflect.Type, want.NumField())
 	for i := range want.NumField() {
 		field := want.Field(i)
-		fields[tagName(field)] = field.Type
+		if name := tagName(field); name != notCarried {
+			fields[name] = field.Type
+		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(table)) {
 		field, known := fields[key]
@@ -122,6 +124,9 @@
 	return nil
 }
 
+// notCarried is the tag of fields that notes do not carry.
+const notCarried = "-"
+
 func tagName(field reflect.StructField) string {
 	name := field.Tag.Get("toml")
 	for i := range len(name) {
--- a/io/opctl/opctl_test.go
+++ b/io/opctl/opctl_test.go
@@ -194,6 +194,14 @@
 	c.Check(errOut, qt.Contains, "storeStale: the checkpoint has version 4, whose note is missing")
 }
 
+// checkText returns what check prints for a note.
+func checkText(c *qt.C, text string) string {
+	name := filepath.Join(c.TempDir(), "0000000001.toml")
+	c.Assert(os.WriteFile(name, []byte("version = 1\nagainst = 0\n"+text), 0o600), qt.IsNil)
+	_, out, errOut := run("check", name)
+	return out + errOut
+}
+
 // TestManual guards against a manual whose examples are refused or that leaves out a field or
 // a kind of refusal.
 func TestManual(t *testing.T) {
@@ -217,6 +225,12 @@
 	for _, resource := range reflect.VisibleFields(reflect.TypeFor[core.Resources]()) {
 		for _, field := range reflect.VisibleFields(resource.Type.Elem()) {
 			name, _, _ := strings.Cut(field.Tag.Get("toml"), ",")
+			if name == "-" {
+				// Notes do not carry the field; a note that has it is refused.
+				fault := checkText(c, "[[add.route]]\n"+field.Name+" = 1\n")
+				c.Check(fault, qt.Contains, "is not a known field")
+				continue
+			}
 			c.Check(string(text), qt.Contains, "`"+name+"`")
 		}
 	}
--- a/io/opctl/table.go
+++ b/io/opctl/table.go
@@ -47,6 +47,7 @@
 		statusCommand,
 		explainCommand,
 		timelineCommand,
+		traceCommand,
 	}
 }
 
--- a/tools/reference/main.go
+++ b/tools/reference/main.go
@@ -31,6 +31,7 @@
 		{title: "Subcommands of verbenactl", body: opctl.Reference()},
 		{title: "Error kinds", body: errorKinds()},
 		{title: "Event kinds", body: eventKinds()},
+		{title: "Decisions on requests", body: decisionKinds()},
 		{title: "Settings of verbenad", body: settings()},
 		{title: "Metrics", body: "Each daemon shows its metrics as JSON under `/debug/vars` on its admin address.\n\n" + daemon.MetricsReference()},
 	}
@@ -70,6 +71,16 @@
 	return text.String()
 }
 
+func decisionKinds() string {
+	var text strings.Builder
+	text.WriteString("Lines of a daemon on the users' platform, with the request's id, what decided, and the outcome.\n\n")
+	text.WriteString("| message | meaning |\n| --- | --- |\n")
+	for _, info := range core.DecisionKinds {
+		fmt.Fprintf(&text, "| `%s` | %s |\n", info.Kind, info.Meaning)
+	}
+	return text.String()
+}
+
 func settings() string {
 	return "A key with a dot is in a TOML table: `listen.caller` is the key `caller` under `[listen]`. " +
 		"`verbenad --check --settings FILE` checks a file.\n\n" + conf.Reference()
