--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 FUZZTIME ?= 10s
 DAEMONS ?= 25 50 100 200
 
-.PHONY: all build demo test lint gen bench bench-distribution bench-requests bench-azmove fuzz
+.PHONY: all build demo test lint gen bench bench-distribution bench-requests bench-azmove fuzz soak
 
 all: build
 
@@ -42,6 +42,12 @@
 
 bench: bench-distribution bench-requests bench-azmove
 
+# soak plays SEEDS seeds, from SEED on, with real daemons as separate processes on loopback.
+SEED ?= 1
+SEEDS ?= 50
+soak: build
+	bin/soak --program bin/verbenaside --seed $(SEED) --seeds $(SEEDS)
+
 # fuzz runs each fuzz target for FUZZTIME. Minimizing an input is bounded, since a large one
 # would take up all of the time.
 fuzz:
