--- a/io/daemon/command.go
+++ b/io/daemon/command.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -12,10 +11,9 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/logfmt"
-	"github.com/jessevdk/go-flags"
 
-	"verbenaway/core"
 	"verbenaway/io/conf"
+	"verbenaway/io/shell"
 )
 
 // Exit codes of verbenad.
@@ -35,13 +33,9 @@
 // code.
 func Main(args []string, errOut io.Writer) int {
 	var opts options
-	parser := flags.NewNamedParser("verbenad", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "The daemon of verbenaway, one per host: entry for callers and gatekeeper of the upstream on the host."
-	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
-		panic(err)
-	}
-	if rest, err := parser.ParseArgs(args); err != nil || len(rest) > 0 {
-		return reportUsage(errOut, err, rest)
+	description := "The daemon of verbenaway, one per host: entry for callers and gatekeeper of the upstream on the host."
+	if code, ok := shell.Parse("verbenad", description, &opts, args, errOut); !ok {
+		return code
 	}
 	settings, err := conf.ReadFile(opts.Settings)
 	if err != nil {
@@ -59,21 +53,6 @@
 	return exitOK
 }
 
-// reportUsage prints help or what is wrong with the command line.
-func reportUsage(errOut io.Writer, err error, rest []string) int {
-	var flagError *flags.Error
-	switch {
-	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
-		fmt.Fprintln(errOut, flagError.Message)
-		return exitOK
-	case err != nil:
-		fmt.Fprintf(errOut, "verbenad: %v\n", err)
-	default:
-		fmt.Fprintf(errOut, "verbenad: %v\n", core.Errorf(core.Usage, "unexpected argument %q", rest[0]))
-	}
-	return exitSettings
-}
-
 // newLogger logs one line of key=value pairs per event.
 func newLogger(out io.Writer, level string) log.Interface {
 	return &log.Logger{
