proxy: a part of a divided route without its service is refused

Cause: such a request had no retry budget and ended its connection by a panic (found by reading the diff; TestPartWithoutService failed before). Ruled out: the store, which accepts only valid configurations. Change: 503, not run.

--- a/core/admit/pace.go
+++ b/core/admit/pace.go
@@ -5,7 +5,8 @@
 // paceWindow is the time over which the platform counts the requests of a cold upstream.
 const paceWindow = time.Second
 
-// maxPace bounds the memory of a pace; a higher rate is held as if it were this one.
+// maxPace bounds the memory of a pace. Higher rates are not bounded; no upstream that needs a
+// cold start bears as many.
 const maxPace = 4096
 
 // pace remembers when the latest requests began, so that at most a given number begins within
--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -361,3 +361,24 @@
 	c.Assert(got.status, qt.Equals, 200)
 	c.Assert(len(got.body), qt.Equals, len("ran  by i1")+len(body))
 }
+
+// TestPartWithoutService guards against a daemon that breaks off requests of a divided route
+// one part of which leads to a service that the configuration lacks.
+func TestPartWithoutService(t *testing.T) {
+	c := qt.New(t)
+	rig := newMeshRig(t, func(snapshot *core.Snapshot) {
+		spec := snapshot.Routes["lookup"]
+		spec.Split = []core.SplitSpec{
+			{Service: "netbook", Weight: 50},
+			{Service: "missing", Weight: 50},
+		}
+		snapshot.Routes["lookup"] = spec
+	}, generous, signed)
+	counts := map[int]int{}
+	for range 40 {
+		got := rig.send("GET", "/lookup/1", "")
+		c.Assert(got.err, qt.IsNil)
+		counts[got.status]++
+	}
+	c.Assert(counts, qt.DeepEquals, map[int]int{200: 20, 503: 20})
+}
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -163,7 +163,12 @@
 	c.route = match.Route
 	c.homes = match.Homes
 	c.idempotent = match.Route.Spec.Idempotent
-	c.service = c.view.table.Snapshot().Services[match.Route.Choose(c.service.Name)]
+	name := match.Route.Choose(c.service.Name)
+	service, isKnown := c.view.table.Snapshot().Services[name]
+	if !isKnown {
+		return core.NoUpstream, fmt.Sprintf("the daemon lacks service %s, a part of route %s", name, match.Route.Spec.Name)
+	}
+	c.service = service
 	c.key = ""
 	if !c.idempotent && !c.isClaimed && !isRelay {
 		c.key = first(request.Header, keyIdempotency)
