route: decisions by the steady clock

Cause: hosts were passed over and found silent by the time of day, so that a step of 2.4 s forwards would make every host with a request outstanding look silent, and one back would pass hosts over for as much longer. Found by reading the diff. Ruled out: the other modules, which subtract times. Change: nanoseconds of the steady clock.

--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -48,7 +48,7 @@
 )
 
 // hold is how long an upstream takes for a request of a route, with the time at which it was
-// reported in Unix nanoseconds.
+// reported on the steady scale.
 type hold struct {
 	time time.Duration
 	at   int64
@@ -71,7 +71,7 @@
 	u := choice.upstream
 	u.report(now, condition.InFlight, condition.Limit)
 	u.failures.Store(math.Float64bits(condition.Failures))
-	u.freeAt.Store(now.Add(condition.Wait).UnixNano())
+	u.freeAt.Store(steady(now.Add(condition.Wait)))
 	if condition.Hold <= 0 {
 		return
 	}
@@ -82,7 +82,7 @@
 	}
 	u.holds[route] = hold{
 		time: condition.Hold,
-		at:   now.UnixNano(),
+		at:   steady(now),
 	}
 }
 
@@ -91,7 +91,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	known, ok := u.holds[route]
-	if !ok || now.UnixNano()-known.at > int64(knowledgeAge) {
+	if !ok || steady(now)-known.at > int64(knowledgeAge) {
 		return 0, false
 	}
 	return known.time, true
@@ -99,7 +99,7 @@
 
 // failureShare returns the share of requests that came to nothing lately.
 func (u *upstream) failureShare(now time.Time) float64 {
-	if now.UnixNano()-u.loadAt.Load() > int64(knowledgeAge) {
+	if steady(now)-u.loadAt.Load() > int64(knowledgeAge) {
 		return 0
 	}
 	return math.Float64frombits(u.failures.Load())
@@ -219,11 +219,11 @@
 		share += surplusCost * (use - 1)
 	}
 	wait := time.Duration(max(use-1, 0) * float64(c.hold))
-	expected += max(wait, time.Duration(c.upstream.freeAt.Load()-now.UnixNano()))
+	expected += max(wait, time.Duration(c.upstream.freeAt.Load()-steady(now)))
 	used := expected.Seconds() / query.target().Seconds()
 	share += timeCost*used + hurryCost*max(used-comfortable, 0)
 	if until := c.upstream.passedUntil.Load(); until != 0 {
-		if since := now.UnixNano() - until; since < int64(recoverTime) {
+		if since := steady(now) - until; since < int64(recoverTime) {
 			share += recoverPenalty * (1 - float64(max(since, 0))/float64(recoverTime))
 		}
 	}
@@ -233,5 +233,5 @@
 // isFull tells whether one more request exceeds what the upstream is known to bear.
 func (u *upstream) isFull(now time.Time, slots int) bool {
 	inFlight, limit := u.use(now, slots)
-	return inFlight > limit || u.freeAt.Load() > now.UnixNano()
+	return inFlight > limit || u.freeAt.Load() > steady(now)
 }
--- a/core/route/silence.go
+++ b/core/route/silence.go
@@ -21,7 +21,7 @@
 // counted it as outstanding.
 func (u *upstream) asked(now time.Time, usual time.Duration) (expected int64) {
 	if u.outstanding.Load() == 1 {
-		u.quietSince.Store(now.UnixNano())
+		u.quietSince.Store(steady(now))
 	}
 	expected = int64(answerUnit / max(usual, leastUsual))
 	u.expected.Add(expected)
@@ -34,7 +34,7 @@
 
 // heard notes a sign of life.
 func (u *upstream) heard(now time.Time) {
-	u.quietSince.Store(now.UnixNano())
+	u.quietSince.Store(steady(now))
 }
 
 // silence returns the time without a sign of life while requests were outstanding.
@@ -42,7 +42,7 @@
 	if u.outstanding.Load() == 0 {
 		return 0
 	}
-	return time.Duration(now.UnixNano() - u.quietSince.Load())
+	return time.Duration(steady(now) - u.quietSince.Load())
 }
 
 // isSilent tells whether the answers to the outstanding requests are missing.
@@ -59,7 +59,7 @@
 // so long that its answers are missing.
 func (b *Balancer) IsSilent(now, since time.Time, choice Choice) bool {
 	u := choice.upstream
-	return u.quietSince.Load() <= since.UnixNano() && u.isSilent(now)
+	return u.quietSince.Load() <= steady(since) && u.isSilent(now)
 }
 
 // Silent passes a silent host over, longer each time.
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -53,15 +53,15 @@
 	// load packs the requests that others had in flight (high half) and the limit.
 	load   atomic.Uint64
 	loadAt atomic.Int64
-	// passedUntil is the end of the last pass-over in Unix nanoseconds, 0 if none.
+	// passedUntil is the end of the last pass-over on the steady scale, 0 if none.
 	passedUntil atomic.Int64
 	refusals    atomic.Int32
 	// failures holds the bits of the share of requests that came to nothing.
 	failures atomic.Uint64
-	// freeAt is when a slot was expected to be free, in Unix nanoseconds.
+	// freeAt is when a slot was expected to be free, on the steady scale.
 	freeAt atomic.Int64
 	// quietSince is the time of the latest sign of life, or of the first request after it, in
-	// Unix nanoseconds.
+	// nanoseconds on the steady scale.
 	quietSince atomic.Int64
 	// expected is the number of answers to the outstanding requests that usually come within
 	// answerUnit.
@@ -75,7 +75,7 @@
 func (u *upstream) report(now time.Time, inFlight, limit int) {
 	others := max(int64(inFlight)-u.outstanding.Load(), 0)
 	u.load.Store(uint64(uint32(others))<<32 | uint64(uint32(limit)))
-	u.loadAt.Store(now.UnixNano())
+	u.loadAt.Store(steady(now))
 	u.heard(now)
 }
 
@@ -95,12 +95,12 @@
 	wait := min(pass.first<<min(u.refusals.Add(1)-1, 10), pass.longest)
 	// Between half and the whole time, so that entries do not return all at once.
 	wait = wait/2 + time.Duration(random%uint64(wait/2+1))
-	u.passedUntil.Store(now.Add(wait).UnixNano())
+	u.passedUntil.Store(steady(now.Add(wait)))
 }
 
 func (u *upstream) passed(now time.Time) bool {
 	until := u.passedUntil.Load()
-	return until != 0 && now.UnixNano() < until
+	return until != 0 && steady(now) < until
 }
 
 // use returns the requests in flight including one more, and the limit.
@@ -110,7 +110,7 @@
 		slots = own
 	}
 	limit = float64(max(slots, 1))
-	age := now.UnixNano() - u.loadAt.Load()
+	age := steady(now) - u.loadAt.Load()
 	if age < 0 || age >= int64(loadAge) {
 		return inFlight, limit
 	}
@@ -128,7 +128,7 @@
 	score = inFlight / limit
 	full = score > 1
 	if until := u.passedUntil.Load(); until != 0 {
-		if since := now.UnixNano() - until; since < int64(recoverTime) {
+		if since := steady(now) - until; since < int64(recoverTime) {
 			score += recoverPenalty * (1 - float64(max(since, 0))/float64(recoverTime))
 		}
 	}
