Call one piece of code for a route's services and for the end of a pass-over; drop dead code

Found by reading the diff once more. admit checked twice, in its own words, whether a route leads to a service: checkService now calls leadsTo. route computed the fading addition after a pass-over in score and in cost: both call penalty.

--- a/core/admit/check.go
+++ b/core/admit/check.go
@@ -51,9 +51,7 @@
 	if service == "" {
 		service = route.Service
 	}
-	if service != route.Service && !slices.ContainsFunc(route.Split, func(part core.SplitSpec) bool {
-		return part.Service == service
-	}) {
+	if !leadsTo(route, service) {
 		return core.NoUpstream, "the route no longer leads to the service"
 	}
 	if service != c.serviceName() || c.service.Slots < 1 {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -127,11 +127,7 @@
 	return wait
 }
 
-// BusyKind returns the kind of refusal for a request that found no slot.
-func (c *Controller) BusyKind(now time.Time) core.Kind {
-	return c.busyKind(now)
-}
-
+// busyKind returns the kind of refusal for a request that found no slot.
 func (c *Controller) busyKind(now time.Time) core.Kind {
 	if c.isCold(now) || !c.config.IsRegistered && c.ramp.limit() < c.service.Slots {
 		return core.Cold
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -222,11 +222,7 @@
 	expected += max(wait, time.Duration(c.upstream.freeAt.Load()-steady(now)))
 	used := expected.Seconds() / query.target().Seconds()
 	share += timeCost*used + hurryCost*max(used-comfortable, 0)
-	if until := c.upstream.passedUntil.Load(); until != 0 {
-		if since := steady(now) - until; since < int64(recoverTime) {
-			share += recoverPenalty * (1 - float64(max(since, 0))/float64(recoverTime))
-		}
-	}
+	share += c.upstream.penalty(now)
 	return share + spreadCost*float64(b.config.Random()>>11)/(1<<53)
 }
 
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -122,15 +122,24 @@
 	return inFlight + others*(1-float64(age)/float64(loadAge)), limit
 }
 
+// penalty returns the addition after the end of a pass-over, which fades with recoverTime.
+func (u *upstream) penalty(now time.Time) float64 {
+	until := u.passedUntil.Load()
+	if until == 0 {
+		return 0
+	}
+	since := steady(now) - until
+	if since >= int64(recoverTime) {
+		return 0
+	}
+	return recoverPenalty * (1 - float64(max(since, 0))/float64(recoverTime))
+}
+
 // score ranks the upstream, lower is better. Above 1 without penalty means full.
 func (u *upstream) score(now time.Time, slots int) (score float64, full bool) {
 	inFlight, limit := u.use(now, slots)
 	score = inFlight / limit
 	full = score > 1
-	if until := u.passedUntil.Load(); until != 0 {
-		if since := steady(now) - until; since < int64(recoverTime) {
-			score += recoverPenalty * (1 - float64(max(since, 0))/float64(recoverTime))
-		}
-	}
+	score += u.penalty(now)
 	return score, full
 }
