member: a daemon that was out of contact owns no new keys for a while

A member cut off for 10 s that then refutes a suspicion did not know that one other member held it for dead and kept its EligibleAt; if that member is cut off at the same moment, both may accept a key.

Change: after a silence longer than SuspectFor the first contact raises EligibleAt by OwnerDelay and announces it.

--- a/core/member/lease.go
+++ b/core/member/lease.go
@@ -54,7 +54,6 @@
 
 // probed notes a probe by another member.
 func (t *Tracker) probed(now time.Time, prober core.HostName) {
-	t.probes.lastContact = now
 	probers := t.probers()
 	if !slices.Contains(probers, prober) {
 		return
--- a/core/member/probe.go
+++ b/core/member/probe.go
@@ -101,8 +101,7 @@
 	}
 	if result.Reached {
 		delete(t.probes.pending, result.Target)
-		t.probes.lastContact = now
-		return t.mergeAll(now, result.Events)
+		return append(t.contact(now), t.mergeAll(now, result.Events)...)
 	}
 	target, ok := t.records[result.Target]
 	if !ok || !isLive(target.event.State) {
@@ -145,21 +144,36 @@
 // this daemon is in contact with others.
 func (t *Tracker) indirectFailed(now time.Time, target *record, result ProbeResult) []Action {
 	name := target.event.Host.Name
+	var actions []Action
 	if result.ViaReached {
-		t.probes.lastContact = now
+		actions = t.contact(now)
 	}
 	if t.probes.pending[name] == 0 {
-		return nil
+		return actions
 	}
 	t.probes.pending[name]--
 	if t.probes.pending[name] > 0 {
-		return nil
+		return actions
 	}
 	delete(t.probes.pending, name)
 	if now.Sub(t.probes.lastContact) > contactFor {
+		return actions
+	}
+	return append(actions, t.suspect(now, target)...)
+}
+
+// contact notes that another member was reached. After a silence in which a suspicion may have
+// ended, any member may hold this daemon for dead, and one that is cut off now would not learn
+// otherwise before its own lease ends. So this daemon owns no keys created within OwnerDelay.
+func (t *Tracker) contact(now time.Time) []Action {
+	last := t.probes.lastContact
+	t.probes.lastContact = now
+	if last.IsZero() || now.Sub(last) <= t.config.SuspectFor || t.self.State != core.MemberAlive {
 		return nil
 	}
-	return t.suspect(now, target)
+	t.self.Incarnation = t.nextIncarnation(now, t.self.Incarnation)
+	t.self.EligibleAt = now.Add(t.config.OwnerDelay).UnixMilli()
+	return t.announceSelf(now)
 }
 
 // suspect begins the time in which the target can refute.
--- a/core/member/tracker.go
+++ b/core/member/tracker.go
@@ -226,10 +226,12 @@
 
 // HandleExchange takes in a message of another daemon.
 func (t *Tracker) HandleExchange(now time.Time, message core.ExchangeMessage) []Action {
+	var actions []Action
 	if message.Probe {
 		t.probed(now, message.Digest.Sender)
+		actions = t.contact(now)
 	}
-	return t.mergeAll(now, message.Events)
+	return append(actions, t.mergeAll(now, message.Events)...)
 }
 
 // Reply returns the events for the answer to a message, which HandleExchange has taken in:
