proxy: an upload that an upstream refuses early is never answered 200

The gatekeeper releases the request's body before it writes its refusal; while a read of the body was in progress it flushed first, and a flush before any header sends an implicit 200. The entry took it for the upstream's answer. Ruled out: the dialect's check of signatures (the answer never came from an upstream).

Change: release flushes only after an answer has begun.

Test: TestEarlyRefusalOfUpload, 200 before, 503 notRun after.

--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -382,3 +384,32 @@
 	}
 	c.Assert(counts, qt.DeepEquals, map[int]int{200: 20, 503: 20})
 }
+
+// TestEarlyRefusalOfUpload guards against an upload that an upstream refuses before it has read
+// the body, and that the caller sees as served: while the rest of the body was awaited, the
+// gatekeeper sent the beginning of an answer of its own.
+func TestEarlyRefusalOfUpload(t *testing.T) {
+	c := qt.New(t)
+	refuses := func(w http.ResponseWriter, r *http.Request) {
+		controller := http.NewResponseController(w)
+		c.Check(controller.EnableFullDuplex(), qt.IsNil)
+		_, _ = io.ReadFull(r.Body, make([]byte, 1000))
+		w.Header().Set("Content-Length", "0")
+		sheds(w, r)
+		c.Check(controller.Flush(), qt.IsNil)
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	rig := newMeshRig(t, nil, retry.WindowConfig{Span: time.Second}, refuses)
+	conn, err := net.Dial("tcp", rig.server.Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	c.Assert(conn.SetDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	// The rest of the body is on its way until the answer ends the upload.
+	_, err = fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: mesh.test\r\nX-Wait: 2000\r\nContent-Length: 1000000\r\n\r\n%s", make([]byte, 200_000))
+	c.Assert(err, qt.IsNil)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get(HeaderOutcome), qt.Equals, OutcomeNotRun)
+}
--- a/io/proxy/gate_body.go
+++ b/io/proxy/gate_body.go
@@ -94,11 +94,12 @@
 }
 
 // release returns once nobody reads the body any more. An upload that the upstream did not
-// want to its end is interrupted after the answer was sent.
-func (b *gateBody) release() {
+// want to its end is interrupted after the answer was sent, if there is one: a flush before
+// the refusal would send the header of an answer that no upstream gave.
+func (b *gateBody) release(isAnswered bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.reading {
+	if b.reading && isAnswered {
 		_ = b.controller.Flush()
 	}
 	b.stop()
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -52,7 +52,9 @@
 		c.body = newGateBody(c.writer, c.request.Body)
 		_ = c.body.controller.EnableFullDuplex()
 		defer context.AfterFunc(ctx, c.body.interrupt)()
-		defer c.body.release()
+		defer func() {
+			c.body.release(c.wroteHeader)
+		}()
 	}
 	if kind, detail := c.identify(); kind != "" {
 		return kind, detail
