route: a request is taken from its host only after three times its usual time

Each such end cuts work that is nearly done and the calls that it made, and spends a repeat. Ruled out: a connection that broke between daemons (the entry itself ended it).

What a new request avoids is unchanged.

Test: TestRequestsSentTogetherAreNoSilence, fails before.

--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -82,8 +82,10 @@
 	OtherRegion bool
 	// HasRoom tells that the upstream seemed to have a free slot.
 	HasRoom bool
-	// expected is the part of this choice in upstream.expected.
+	// expected is the part of this choice in upstream.expected, usual the time in which its
+	// answer is expected.
 	expected int64
+	usual    time.Duration
 	upstream *upstream
 }
 
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -122,7 +122,8 @@
 		if best := b.cheapest(now, query, candidates); best != nil {
 			choice = begin(best.upstream, best.tier.distance == otherRegion)
 			choice.HasRoom = !best.upstream.isFull(now, g.slots)
-			choice.expected = best.upstream.asked(now, best.hold)
+			choice.usual = max(best.hold, leastUsual)
+			choice.expected = best.upstream.asked(now, choice.usual)
 			return choice, true
 		}
 	}
--- a/core/route/cost_test.go
+++ b/core/route/cost_test.go
@@ -317,3 +317,29 @@
 	rig.query.Route = "check"
 	qt.Assert(t, rig.shares()["a1"] >= 90, qt.IsTrue)
 }
+
+// TestRequestsSentTogetherAreNoSilence guards against a sound host whose requests are taken away
+// and run again elsewhere: four that were sent at the same time are answered at the same time,
+// and a cold upstream takes twice as long as the others told.
+func TestRequestsSentTogetherAreNoSilence(t *testing.T) {
+	rig := newCostRig()
+	for _, name := range []core.HostName{"a2", "b1", "b2"} {
+		rig.learn(name, route.Condition{InFlight: 18, Limit: 18, Hold: 180 * time.Millisecond})
+	}
+	rig.learn("a1", route.Condition{InFlight: 2, Limit: 18, Hold: 180 * time.Millisecond})
+	begun := rig.now
+	var choices []route.Choice
+	for range 4 {
+		choice, ok := rig.balancer.ChooseByCost(rig.now, rig.query)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, choice.Host.Name, qt.Equals, core.HostName("a1"))
+		choices = append(choices, choice)
+	}
+	rig.now = rig.now.Add(500 * time.Millisecond)
+	for _, choice := range choices {
+		qt.Assert(t, rig.balancer.IsSilent(rig.now, begun, choice), qt.IsFalse)
+	}
+	// A frozen host is still left in time for another attempt.
+	rig.now = rig.now.Add(100 * time.Millisecond)
+	qt.Assert(t, rig.balancer.IsSilent(rig.now, begun, choices[0]), qt.IsTrue)
+}
--- a/core/route/silence.go
+++ b/core/route/silence.go
@@ -13,6 +13,10 @@
 	leastSilence = 400 * time.Millisecond
 	// leastUsual bounds how soon an answer is expected: short requests wait for long ones.
 	leastUsual = 150 * time.Millisecond
+	// silentTimes is how many times the usual time of a request has to pass before it is taken
+	// away from its host: requests that were sent together are answered together, and one
+	// that makes calls of its own, or meets a cold upstream, takes more than twice the usual.
+	silentTimes = 3
 	// silentCost is the addition for a silent host, more than any load adds.
 	silentCost = 5.0
 )
@@ -23,7 +27,7 @@
 	if u.outstanding.Load() == 1 {
 		u.quietSince.Store(steady(now))
 	}
-	expected = int64(answerUnit / max(usual, leastUsual))
+	expected = int64(answerUnit / usual)
 	u.expected.Add(expected)
 	return expected
 }
@@ -56,10 +60,10 @@
 }
 
 // IsSilent tells whether the host of a choice has shown no sign of life since a time, and for
-// so long that its answers are missing.
+// so long that its answers are missing, that of the choice by far.
 func (b *Balancer) IsSilent(now, since time.Time, choice Choice) bool {
 	u := choice.upstream
-	return u.quietSince.Load() <= steady(since) && u.isSilent(now)
+	return u.quietSince.Load() <= steady(since) && u.isSilent(now) && u.silence(now) > silentTimes*choice.usual
 }
 
 // Silent passes a silent host over, longer each time.
