follow: a daemon that starts beside others is confirmed at once

The question that confirms its first, stale content was parked for 400 ms like any other when there was nothing new. Ruled out: the listing (milliseconds).

Test: TestStartBesideOthers (100 ms), fails before.

--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -347,3 +347,22 @@
 	c.Assert(rig.watches(readers[0]), qt.Equals, 0)
 	c.Assert(rig.lists(), qt.Equals, len(names))
 }
+
+// TestStartBesideOthers guards against a daemon that starts alone and serves only after a parked
+// question to a daemon that has nothing new to tell.
+func TestStartBesideOthers(t *testing.T) {
+	rig := newZoneRig(t, "d1", "d2", "d3", "d4")
+	rig.waitVersion(t, 1, applyTime)
+	waitUntil(t, 2*sourceRest, func() bool { return len(rig.readers()) == 1 })
+	reader := rig.readers()[0]
+	var name core.HostName
+	for other := range rig.followers {
+		if other != reader {
+			name = other
+		}
+	}
+	again := New(rig.followers[name].config)
+	qt.Assert(t, again.Start(t.Context()), qt.IsNil)
+	defer func() { _ = again.Stop(t.Context()) }()
+	waitUntil(t, 100*time.Millisecond, again.IsReady)
+}
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -80,14 +80,18 @@
 		return false
 	}
 	f.mu.Lock()
-	after := f.state.Revision()
+	after, wait := f.state.Revision(), relayWait
+	if f.isStale {
+		// Even an answer without changes confirms the content.
+		wait = 0
+	}
 	f.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, relayWait+relayTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, wait+relayTimeout)
 	defer cancel()
 	f.Counters.Relayed.Add(1)
 	answer, err := f.config.Relay.Follow(callCtx, host.PeerAddress, core.FollowRequest{
 		After: after,
-		Wait:  relayWait,
+		Wait:  wait,
 	})
 	if err == nil && answer.ContactAge >= 0 && answer.ContactAge < contactLimit && answer.Revision >= after {
 		changes := f.decode(answer.RegistryAnswer)
@@ -121,14 +125,13 @@
 	return !f.ready.Load() && f.config.Clock.Now().Sub(f.startedAt) < startPatience
 }
 
-// Follow implements core.RelayServer. A daemon that is about to confirm its content lets others
-// wait for it.
+// Follow implements core.RelayServer.
 func (f *Follower) Follow(ctx context.Context, request core.FollowRequest) (core.FollowAnswer, error) {
 	timer := time.NewTimer(request.Wait)
 	defer timer.Stop()
 	for {
-		answer, changed, isPending, err := f.answer(request)
-		if err != nil || !isPending && (len(answer.Items) > 0 || request.IsWhole || answer.ContactAge < 0) {
+		answer, changed, err := f.answer(request)
+		if err != nil || len(answer.Items) > 0 || request.IsWhole || answer.ContactAge < 0 {
 			return answer, err
 		}
 		select {
@@ -142,8 +145,7 @@
 }
 
 // answer returns what this daemon knows now, and a channel that is closed at the next change.
-// isPending says that its content still has to be confirmed.
-func (f *Follower) answer(request core.FollowRequest) (answer core.FollowAnswer, changed <-chan struct{}, isPending bool, err error) {
+func (f *Follower) answer(request core.FollowRequest) (core.FollowAnswer, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	after := request.After
@@ -152,14 +154,14 @@
 	}
 	known, ok := f.state.Since(after)
 	if !ok {
-		return core.FollowAnswer{}, nil, false, core.Errorf(core.StoreCompacted, "revision %d is too old", request.After)
+		return core.FollowAnswer{}, nil, core.Errorf(core.StoreCompacted, "revision %d is too old", request.After)
 	}
-	answer = core.FollowAnswer{
+	answer := core.FollowAnswer{
 		RegistryAnswer: known,
 		ContactAge:     f.config.Clock.Now().Sub(f.contactAt),
 	}
 	if f.isLost || f.isStale {
 		answer.ContactAge = -1
 	}
-	return answer, f.changed, f.isStale && !f.isLost, nil
+	return answer, f.changed, nil
 }
