follow: an outage of the store is probed seldom; a daemon turned away asks others

The first daemon of a region asked nobody else, so that one that the store turns away kept the old configuration while its neighbours had the new one.

Change: a daemon that follows another one backs off from 0.4 to 3.2 s and goes on asking neighbours; a daemon that has lost the store asks others whatever their rank, one more at random after the first ones.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -44,6 +44,12 @@
 	// small against the seconds within which a change has to be in force.
 	firstBackoff   = 50 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
+	// firstFollowerBackoff and longestFollowerBackoff are those of daemons that follow another
+	// one. The longest is what the three seconds until a store counts as stable leave.
+	firstFollowerBackoff   = 400 * time.Millisecond
+	longestFollowerBackoff = 3200 * time.Millisecond
+	// relayRetry is how often others are asked meanwhile, within the rests between questions.
+	relayRetry = 100 * time.Millisecond
 	// hintPatience is how long a newer version that requests show may take to arrive on the
 	// usual way: the gap between two watches and the way over two daemons. With a listing after
 	// it, it stays below the two seconds within which a change has to be in force.
@@ -178,14 +184,19 @@
 // revision.
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.done)
-	backoff := firstBackoff
+	retry := f.pace()
+	var retryAt time.Time
 	isComplete := false
 	for ctx.Err() == nil {
 		if f.takeWish() {
 			isComplete = false
 		}
 		if isComplete && f.followRelay(ctx) {
-			backoff = firstBackoff
+			retry, retryAt = f.pace(), time.Time{}
+			continue
+		}
+		if rest := retryAt.Sub(f.config.Clock.Now()); rest > 0 {
+			pause(ctx, min(rest, relayRetry))
 			continue
 		}
 		err := f.probe(ctx)
@@ -197,7 +208,7 @@
 		switch {
 		case err == nil:
 			isComplete = true
-			backoff = firstBackoff
+			retry, retryAt = f.pace(), time.Time{}
 			continue
 		case ctx.Err() != nil:
 			return
@@ -208,8 +219,29 @@
 			continue
 		}
 		f.failed(err)
-		pause(ctx, backoff/2+rand.N(backoff/2))
-		backoff = min(backoff*2, longestBackoff)
+		retryAt = f.config.Clock.Now().Add(retry.next/2 + rand.N(retry.next/2))
+		retry.next = min(retry.next*2, retry.longest)
+	}
+}
+
+// backoff is the pause after a failed call of the store.
+type backoff struct {
+	next    time.Duration
+	longest time.Duration
+}
+
+// pace returns the pauses of this daemon. Those that have others to tell them of the store's
+// return ask it more seldom, since each call is priced.
+func (f *Follower) pace() backoff {
+	if f.config.Relay == nil || f.isReader() {
+		return backoff{
+			next:    firstBackoff,
+			longest: longestBackoff,
+		}
+	}
+	return backoff{
+		next:    firstFollowerBackoff,
+		longest: longestFollowerBackoff,
 	}
 }
 
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -33,17 +34,42 @@
 }
 
 // source returns the daemon to ask; ok is false if this daemon is to read the store itself.
-// Most daemons ask the first of their availability zone, which asks the first of the region.
+// Most daemons ask the first of their availability zone, which asks the first of the region. A
+// daemon that has lost the store asks others whatever their rank: the store may turn it away and
+// serve them.
 func (f *Follower) source(now time.Time) (host core.Host, ok bool) {
-	members := f.view.Load().ByName
-	zone := ranked(members, func(host core.Host) bool {
-		return host.AvailabilityZone == f.config.Self.AvailabilityZone
-	})
+	zone, region := f.ranks()
 	if host, ok = f.before(now, zone, mostSources); ok {
 		return host, true
 	}
+	if host, ok = f.before(now, region, 1); ok {
+		return host, true
+	}
+	f.mu.Lock()
+	isLost := f.isLost
+	f.mu.Unlock()
+	if !isLost {
+		return core.Host{}, false
+	}
+	others := slices.DeleteFunc(append(zone, region...), func(host core.Host) bool {
+		return host.Name == f.config.Self.Name
+	})
+	if len(others) == 0 {
+		return core.Host{}, false
+	}
+	// One at random in each round of rests bounds the questions in an outage.
+	return f.before(now, others[rand.N(len(others)):], 1)
+}
+
+// ranks returns the daemons of the own zone, and the first of each zone of the region with this
+// one, in the order in which they read the store.
+func (f *Follower) ranks() (zone, region []core.Host) {
+	members := f.view.Load().ByName
+	zone = ranked(members, func(host core.Host) bool {
+		return host.AvailabilityZone == f.config.Self.AvailabilityZone
+	})
 	leaders := map[core.AvailabilityZone]bool{}
-	region := ranked(members, func(host core.Host) bool {
+	region = ranked(members, func(host core.Host) bool {
 		return host.Region == f.config.Self.Region
 	})
 	region = slices.DeleteFunc(region, func(host core.Host) bool {
@@ -51,7 +77,16 @@
 		leaders[host.AvailabilityZone] = true
 		return !isLeader && host.Name != f.config.Self.Name
 	})
-	return f.before(now, region, 1)
+	return zone, region
+}
+
+// isReader tells whether this daemon is the first of its region.
+func (f *Follower) isReader() bool {
+	zone, region := f.ranks()
+	isFirst := func(hosts []core.Host) bool {
+		return len(hosts) == 0 || hosts[0].Name == f.config.Self.Name
+	}
+	return isFirst(zone) && isFirst(region)
 }
 
 // before returns the first daemon that can be asked among those that rank before this one.
--- a/io/follow/relay_test.go
+++ b/io/follow/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -137,10 +138,13 @@
 	cases := []struct {
 		name  string
 		fault func(rig *zoneRig, reader core.HostName)
+		// reaches tells whether the reader gets the version too.
+		reaches bool
 	}{
 		{
-			name:  "calm",
-			fault: func(*zoneRig, core.HostName) {},
+			name:    "calm",
+			fault:   func(*zoneRig, core.HostName) {},
+			reaches: true,
 		},
 		{
 			name: "the reader answers nobody",
@@ -156,6 +160,7 @@
 				store := rig.stores[reader]
 				store.set(func() { store.err = core.Errorf(core.StoreDown, "turned away") })
 			},
+			reaches: true,
 		},
 		{
 			name: "the reader is cut off from the store without a word",
@@ -177,8 +182,8 @@
 			rig.write(2)
 			end := time.Now().Add(applyTime)
 			for name, f := range rig.followers {
-				// The reader itself is out of touch after a fault.
-				if tc.name == "calm" || name != reader {
+				// A reader that nobody reaches, or that hears nothing, is out of touch.
+				if tc.reaches || name != reader {
 					waitVersion(t, f, 2, time.Until(end))
 				}
 			}
@@ -194,6 +199,38 @@
 	}
 }
 
+// TestOutageIsProbedSeldom guards against calls of every daemon all through an outage of the store,
+// and against daemons that do not hear of its return in time.
+func TestOutageIsProbedSeldom(t *testing.T) {
+	c := qt.New(t)
+	names := make([]core.HostName, 12)
+	for i := range names {
+		names[i] = core.HostName(fmt.Sprintf("d%02d", i))
+	}
+	rig := newZoneRig(t, names...)
+	rig.waitVersion(t, 1, applyTime)
+	time.Sleep(2 * shortRest)
+	for _, store := range rig.stores {
+		store.set(func() { store.err = core.Errorf(core.StoreDown, "down") })
+	}
+	probes := func() (count int64) {
+		for _, f := range rig.followers {
+			count += f.Counters.Pulses.Load()
+		}
+		return count
+	}
+	time.Sleep(time.Second)
+	before := probes()
+	time.Sleep(4 * time.Second)
+	// The reader asks twice a second, each of the others at the most every 1.6 seconds then.
+	c.Assert(probes()-before <= 8+3*11, qt.IsTrue, qt.Commentf("%d probes", probes()-before))
+	for _, store := range rig.stores {
+		store.set(func() { store.err = nil })
+	}
+	rig.write(2)
+	rig.waitVersion(t, 2, applyTime)
+}
+
 func waitUntil(t *testing.T, within time.Duration, condition func() bool) {
 	t.Helper()
 	for end := time.Now().Add(within); !condition(); time.Sleep(time.Millisecond) {
