route: failures that a service has everywhere do not send requests away

Differences of the told shares of failures, which are chance then, outweigh the way. Ruled out: uploads (1% cross), full upstreams (limit 13, 6 in flight).

Change: the cost of failures counts from the mean of the service's upstreams.

--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -28,8 +28,9 @@
 	// whole latency target.
 	otherZoneBytes   = 600 << 10
 	otherRegionBytes = 120 << 10
-	// failureCost is the addition for an upstream of which no answer is of use. A share below
-	// fewFailures says nothing: one failure among the latest requests already reaches half of it.
+	// failureCost is the addition for an upstream of which no answer is of use while the others
+	// are sound. A share that is less than fewFailures above the mean of the service says
+	// nothing: one failure among the latest requests already reaches half of it.
 	failureCost = 3.0
 	fewFailures = 0.2
 	// regionRoundTrip is the time to another region and back, which the hold does not contain.
@@ -157,6 +158,7 @@
 // charged if it is in another region.
 func (b *Balancer) cheapest(now time.Time, query Query, candidates []candidate) *candidate {
 	usual := usualHold(query, candidates)
+	failures := meanFailures(now, candidates)
 	var best *candidate
 	var least float64
 	for i := range candidates {
@@ -164,7 +166,7 @@
 		if !c.isKnown {
 			c.hold = usual
 		}
-		cost := b.cost(now, query, c)
+		cost := b.cost(now, query, c, failures)
 		if best == nil || cost < least {
 			best, least = c, cost
 		}
@@ -191,6 +193,16 @@
 	return sum / time.Duration(known)
 }
 
+// meanFailures returns the mean share of failures. What fails everywhere, such as a service that
+// all upstreams call, is no reason to leave the own availability zone or region.
+func meanFailures(now time.Time, candidates []candidate) float64 {
+	sum := 0.0
+	for _, c := range candidates {
+		sum += c.upstream.failureShare(now)
+	}
+	return sum / float64(len(candidates))
+}
+
 func (q *Query) target() time.Duration {
 	if q.Target <= 0 {
 		return defaultTarget
@@ -198,13 +210,13 @@
 	return q.Target
 }
 
-// cost returns the cost of a candidate.
-func (b *Balancer) cost(now time.Time, query Query, c *candidate) float64 {
+// cost returns the cost of a candidate, given the mean share of failures.
+func (b *Balancer) cost(now time.Time, query Query, c *candidate, failures float64) float64 {
 	bytes := float64(query.Bytes + query.Announced)
 	expected := c.hold
 	inFlight, limit := c.upstream.use(now, 1)
 	use := inFlight / limit
-	share := failureCost * max(c.upstream.failureShare(now)-fewFailures, 0) / (1 - fewFailures)
+	share := failureCost * max(c.upstream.failureShare(now)-failures-fewFailures, 0) / (1 - fewFailures)
 	if c.upstream.isSilent(now) {
 		share += silentCost
 	}
--- a/core/route/cost_test.go
+++ b/core/route/cost_test.go
@@ -343,3 +343,14 @@
 	rig.now = rig.now.Add(100 * time.Millisecond)
 	qt.Assert(t, rig.balancer.IsSilent(rig.now, begun, choices[0]), qt.IsTrue)
 }
+
+// TestFailuresEverywhereStayNear guards against paid bytes for nothing while a service fails half
+// of its requests at all upstreams, as when each of them calls another service that sheds: what
+// they tell differs by chance only.
+func TestFailuresEverywhereStayNear(t *testing.T) {
+	rig := newCostRig()
+	for name, share := range map[core.HostName]float64{"a1": 0.6, "a2": 0.5, "b1": 0.4, "b2": 0.5} {
+		rig.learn(name, route.Condition{InFlight: 6, Limit: 18, Hold: 160 * time.Millisecond, Failures: share})
+	}
+	qt.Assert(t, rig.shares()["a1"], qt.Equals, 100)
+}
