route: large uploads wait a little rather than cross zones

In the cost of an upstream such a body weighed 0.47 of a latency target, so that it left its zone as soon as the upstream there had all slots in use.

Change: 240 KB weigh a whole latency target instead of 600 KB.

Test: TestLargeUploadWaitsInItsZone, fails before; a wait that endangers the target still sends it away.

--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -26,7 +26,7 @@
 	otherRegionCost = 0.3
 	// otherZoneBytes and otherRegionBytes are the sizes whose transfer costs as much as a
 	// whole latency target.
-	otherZoneBytes   = 600 << 10
+	otherZoneBytes   = 240 << 10
 	otherRegionBytes = 120 << 10
 	// failureCost is the addition for an upstream of which no answer is of use while the others
 	// are sound. A share that is less than fewFailures above the mean of the service says
--- a/core/route/cost_test.go
+++ b/core/route/cost_test.go
@@ -354,3 +354,19 @@
 	}
 	qt.Assert(t, rig.shares()["a1"], qt.Equals, 100)
 }
+
+// TestLargeUploadWaitsInItsZone guards against large bodies that cross paid links between zones
+// because the upstream in the own zone has them wait for a part of a request's time.
+func TestLargeUploadWaitsInItsZone(t *testing.T) {
+	rig := newCostRig()
+	rig.query.Announced = 280 << 10
+	rig.query.Target = 800 * time.Millisecond
+	rig.learn("a1", route.Condition{InFlight: 23, Limit: 18, Wait: 40 * time.Millisecond, Hold: 150 * time.Millisecond})
+	for _, name := range []core.HostName{"a2", "b1", "b2"} {
+		rig.learn(name, route.Condition{InFlight: 6, Limit: 18, Hold: 150 * time.Millisecond})
+	}
+	qt.Assert(t, rig.shares()["a1"], qt.Equals, 100)
+	// A wait that endangers the target is worse.
+	rig.learn("a1", route.Condition{InFlight: 45, Limit: 18, Wait: 500 * time.Millisecond, Hold: 150 * time.Millisecond})
+	qt.Assert(t, rig.shares()["a1"], qt.Equals, 0)
+}
