--- a/core/event.go
+++ b/core/event.go
@@ -51,8 +51,6 @@
 	EventValueRefused   EventKind = "valueRefused"
 	EventSettingsRead   EventKind = "settingsRead"
 	EventServerFailed   EventKind = "serverFailed"
-	EventCutOff         EventKind = "cutOff"
-	EventReached        EventKind = "reached"
 )
 
 // EventKindInfo describes one event kind for help and reference pages.
@@ -85,8 +83,6 @@
 	{Kind: EventValueRefused, Meaning: "A value of the store cannot be read and is not used."},
 	{Kind: EventSettingsRead, Meaning: "The settings file was read again."},
 	{Kind: EventServerFailed, Meaning: "The daemon no longer takes connections on one of its addresses."},
-	{Kind: EventCutOff, Meaning: "The daemon reaches no other one and is not ready for callers."},
-	{Kind: EventReached, Meaning: "The daemon reaches others again."},
 }
 
 // Event is one entry of the time line.
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -78,8 +78,6 @@
 	ReadsPerSecond float64
 	// Changed is called after each change of what the request path uses. Optional.
 	Changed func()
-	// Reached is called when another daemon answered or asked. Optional.
-	Reached func()
 }
 
 // Counters count what a Follower did since it began.
@@ -141,9 +139,6 @@
 	if config.WatchWait <= 0 {
 		config.WatchWait = DefaultWatchWait
 	}
-	if config.Reached == nil {
-		config.Reached = func() {}
-	}
 	f := &Follower{
 		config:   config,
 		state:    follow.New(config.State),
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -128,9 +128,6 @@
 		After: after,
 		Wait:  wait,
 	})
-	if err == nil {
-		f.config.Reached()
-	}
 	if err == nil && answer.ContactAge >= 0 && answer.ContactAge < contactLimit && answer.Revision >= after {
 		changes := f.decode(answer.RegistryAnswer)
 		f.update(answer.ContactAge, func(now time.Time) {
@@ -165,7 +162,6 @@
 
 // Follow implements core.RelayServer.
 func (f *Follower) Follow(ctx context.Context, request core.FollowRequest) (core.FollowAnswer, error) {
-	f.config.Reached()
 	timer := time.NewTimer(request.Wait)
 	defer timer.Stop()
 	for {
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -54,8 +54,6 @@
 	NewBudget func(service core.ServiceName, now time.Time) core.RetryBudget
 	// Decisions takes the decisions on requests. Optional.
 	Decisions core.DecisionLog
-	// Reached is called when the gatekeeper of another host answered. Optional.
-	Reached func()
 }
 
 // Entry takes requests from callers and carries them to the gatekeeper of an upstream. It
@@ -96,9 +94,6 @@
 	if config.Owner == nil {
 		config.Owner = dedup.Owner
 	}
-	if config.Reached == nil {
-		config.Reached = func() {}
-	}
 	if config.Sleep == nil {
 		config.Sleep = sleep
 	}
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -146,7 +146,6 @@
 		_ = s.conn.Close()
 		return c.broken(string(c.choice.Host.Name) + " answered before it was asked")
 	}
-	c.entry.config.Reached()
 	c.learn(response.Header)
 	r, refused := c.refusal(response.Header, func() string {
 		text, _ := io.ReadAll(io.LimitReader(response.Body, detailBytes))
