route: hosts that can serve nobody get one request at a time

When all other upstreams of a service had refused, those that were passed over got the request after all, and after each pass-over a crowd of requests went to the same host at once.

Change: a refusal tells whether the upstream is full or gone. A gone one is left out while it is passed over, and then gets a single request until it has answered; without any other upstream the caller is refused at once and can come back. The longest pass-over of hosts that take no connection is 2 s instead of 4.

Tests: TestGoneHosts, TestOneRequestTriesAgain; both fail before.

--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -115,7 +115,8 @@
 }
 
 // ChooseByCost returns the upstream with the least cost for one attempt; ok is false if there
-// is none. Upstreams that refused just now come last.
+// is none. Upstreams that were full just now come last; those that could serve nobody are left
+// out for a while.
 func (b *Balancer) ChooseByCost(now time.Time, query Query) (choice Choice, ok bool) {
 	g := b.group(query)
 	for _, includesPassed := range []bool{false, true} {
@@ -140,7 +141,7 @@
 			continue
 		}
 		for _, u := range t.upstreams {
-			if slices.Contains(query.Tried, u.host.Name) || !includesPassed && u.passed(now) {
+			if slices.Contains(query.Tried, u.host.Name) || !u.mayTry(now, includesPassed) {
 				continue
 			}
 			c := candidate{
--- a/core/route/cost_test.go
+++ b/core/route/cost_test.go
@@ -370,3 +370,57 @@
 	rig.learn("a1", route.Condition{InFlight: 45, Limit: 18, Wait: 500 * time.Millisecond, Hold: 150 * time.Millisecond})
 	qt.Assert(t, rig.shares()["a1"], qt.Equals, 0)
 }
+
+// refuse lets every upstream refuse a request with a kind.
+func (r *costRig) refuse(c *qt.C, kind core.Kind) {
+	query := r.query
+	for range r.query.Members {
+		choice, ok := r.balancer.ChooseByCost(r.now, query)
+		c.Assert(ok, qt.IsTrue)
+		r.balancer.Refused(r.now, choice, kind)
+		r.balancer.Release(choice)
+		query.Tried = append(query.Tried, choice.Host.Name)
+	}
+}
+
+// TestGoneHosts guards against requests that wait, one after the other, for connections to hosts
+// without power, although nobody can serve them: they are refused at once. Full upstreams are
+// still asked.
+func TestGoneHosts(t *testing.T) {
+	c := qt.New(t)
+	for _, kind := range []core.Kind{core.NoUpstream, core.Leaving, core.Starting} {
+		rig := newCostRig()
+		rig.refuse(c, kind)
+		_, ok := rig.balancer.ChooseByCost(rig.now, rig.query)
+		c.Check(ok, qt.IsFalse, qt.Commentf("%s", kind))
+	}
+	rig := newCostRig()
+	rig.refuse(c, core.Overloaded)
+	_, ok := rig.balancer.ChooseByCost(rig.now, rig.query)
+	c.Check(ok, qt.IsTrue)
+}
+
+// TestOneRequestTriesAgain guards against a crowd of requests that all wait for a host without
+// power after it was passed over for a while, and against a host that stays out when it is back.
+func TestOneRequestTriesAgain(t *testing.T) {
+	c := qt.New(t)
+	rig := newCostRig()
+	rig.refuse(c, core.NoUpstream)
+	rig.now = rig.now.Add(time.Second)
+	counts := map[core.HostName]int{}
+	var first route.Choice
+	for range 20 {
+		choice, ok := rig.balancer.ChooseByCost(rig.now, rig.query)
+		if !ok {
+			continue
+		}
+		counts[choice.Host.Name]++
+		if choice.Host.Name == "a1" {
+			first = choice
+		}
+	}
+	c.Assert(counts, qt.DeepEquals, map[core.HostName]int{"a1": 1, "a2": 1, "b1": 1, "b2": 1})
+	rig.balancer.Answered(first)
+	rig.balancer.Release(first)
+	c.Assert(rig.shares()["a1"], qt.Equals, 100)
+}
--- a/core/route/silence.go
+++ b/core/route/silence.go
@@ -75,4 +75,5 @@
 var silentPass = passOver{
 	first:   500 * time.Millisecond,
 	longest: 4 * time.Second,
+	isGone:  true,
 }
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -26,6 +26,8 @@
 type passOver struct {
 	first   time.Duration
 	longest time.Duration
+	// isGone says that no request can be served there, unlike at one that is only full.
+	isGone bool
 }
 
 // passOvers lists the kinds after which an upstream is passed over. Slots come free within
@@ -34,13 +36,13 @@
 var passOvers = map[core.Kind]passOver{
 	core.Overloaded:     {first: 25 * time.Millisecond, longest: 400 * time.Millisecond},
 	core.Cold:           {first: 50 * time.Millisecond, longest: 800 * time.Millisecond},
-	core.NoUpstream:     {first: 250 * time.Millisecond, longest: 4 * time.Second},
+	core.NoUpstream:     {first: 250 * time.Millisecond, longest: 2 * time.Second, isGone: true},
 	core.UpstreamFailed: {first: 100 * time.Millisecond, longest: 2 * time.Second},
 	core.OutcomeUnknown: {first: 100 * time.Millisecond, longest: 2 * time.Second},
-	core.Leaving:        {first: time.Second, longest: 4 * time.Second},
-	core.ZoneOut:        {first: time.Second, longest: 4 * time.Second},
-	core.Starting:       {first: 250 * time.Millisecond, longest: 2 * time.Second},
-	core.SuspectView:    {first: 250 * time.Millisecond, longest: 2 * time.Second},
+	core.Leaving:        {first: time.Second, longest: 4 * time.Second, isGone: true},
+	core.ZoneOut:        {first: time.Second, longest: 4 * time.Second, isGone: true},
+	core.Starting:       {first: 250 * time.Millisecond, longest: 2 * time.Second, isGone: true},
+	core.SuspectView:    {first: 250 * time.Millisecond, longest: 2 * time.Second, isGone: true},
 }
 
 // upstream is what the entry knows about one upstream. All fields change without locks;
@@ -56,6 +58,8 @@
 	// passedUntil is the end of the last pass-over on the steady scale, 0 if none.
 	passedUntil atomic.Int64
 	refusals    atomic.Int32
+	// isGone is set while the last refusal said that no request can be served.
+	isGone atomic.Bool
 	// failures holds the bits of the share of requests that came to nothing.
 	failures atomic.Uint64
 	// freeAt is when a slot was expected to be free, on the steady scale.
@@ -83,6 +87,7 @@
 func (u *upstream) answered() {
 	if u.refusals.Load() != 0 {
 		u.refusals.Store(0)
+		u.isGone.Store(false)
 	}
 }
 
@@ -96,6 +101,17 @@
 	// Between half and the whole time, so that entries do not return all at once.
 	wait = wait/2 + time.Duration(random%uint64(wait/2+1))
 	u.passedUntil.Store(steady(now.Add(wait)))
+	u.isGone.Store(pass.isGone)
+}
+
+// mayTry tells whether a request may go to the upstream. One that could serve nobody gets no
+// request while it is passed over, and a single one after that until it has answered: each of
+// the others would wait for a connection that nobody takes.
+func (u *upstream) mayTry(now time.Time, includesPassed bool) bool {
+	if u.isGone.Load() {
+		return !u.passed(now) && u.outstanding.Load() == 0
+	}
+	return includesPassed || !u.passed(now)
 }
 
 func (u *upstream) passed(now time.Time) bool {
