--- a/core/route/silence.go
+++ b/core/route/silence.go
@@ -71,9 +71,9 @@
 	choice.upstream.refused(now, silentPass, b.config.Random())
 }
 
-// silentPass spans the seconds for which hosts freeze.
+// silentPass is short beside the seconds for which hosts freeze, since one request tries again.
 var silentPass = passOver{
 	first:   500 * time.Millisecond,
-	longest: 4 * time.Second,
+	longest: longestGone,
 	isGone:  true,
 }
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -30,19 +30,23 @@
 	isGone bool
 }
 
+// longestGone bounds how late an upstream is used that is back. A daemon restarts within about a
+// second, and a try costs one request of an entry the time of a connection.
+const longestGone = time.Second
+
 // passOvers lists the kinds after which an upstream is passed over. Slots come free within
 // milliseconds, so load passes quickly; a lost answer may be the fault of one request; a
 // stopped process or a stale view takes seconds.
 var passOvers = map[core.Kind]passOver{
 	core.Overloaded:     {first: 25 * time.Millisecond, longest: 400 * time.Millisecond},
 	core.Cold:           {first: 50 * time.Millisecond, longest: 800 * time.Millisecond},
-	core.NoUpstream:     {first: 250 * time.Millisecond, longest: 2 * time.Second, isGone: true},
+	core.NoUpstream:     {first: 250 * time.Millisecond, longest: longestGone, isGone: true},
 	core.UpstreamFailed: {first: 100 * time.Millisecond, longest: 2 * time.Second},
 	core.OutcomeUnknown: {first: 100 * time.Millisecond, longest: 2 * time.Second},
-	core.Leaving:        {first: time.Second, longest: 4 * time.Second, isGone: true},
+	core.Leaving:        {first: 500 * time.Millisecond, longest: longestGone, isGone: true},
 	core.ZoneOut:        {first: time.Second, longest: 4 * time.Second, isGone: true},
-	core.Starting:       {first: 250 * time.Millisecond, longest: 2 * time.Second, isGone: true},
-	core.SuspectView:    {first: 250 * time.Millisecond, longest: 2 * time.Second, isGone: true},
+	core.Starting:       {first: 250 * time.Millisecond, longest: longestGone, isGone: true},
+	core.SuspectView:    {first: 250 * time.Millisecond, longest: longestGone, isGone: true},
 }
 
 // upstream is what the entry knows about one upstream. All fields change without locks;
