admit: orders and uploads wait only while they can be in time

Change: the patience is for look-ups only, such as calls of upstreams, whose refusal makes their caller's work in vain.

Test: TestOrdersInTimeInOverload: 174 of 196 answers late before, served as many after.

--- a/core/admit/load_test.go
+++ b/core/admit/load_test.go
@@ -262,6 +262,25 @@
 	c.Assert(rig.count("lookup") > 0, qt.IsTrue)
 }
 
+// TestOrdersInTimeInOverload guards against a queue of orders that makes each of them late: 1.6
+// times the orders arrive that the slots can run, beside look-ups that rank behind them.
+func TestOrdersInTimeInOverload(t *testing.T) {
+	c := qt.New(t)
+	rig := newLoadRig(0)
+	for i := range 10_000 {
+		if i%31 == 0 {
+			rig.offer("order")
+		}
+		if i%100 == 50 {
+			rig.offer("lookup")
+		}
+		rig.advance()
+	}
+	answered := rig.count("order")
+	c.Assert(answered >= 190, qt.IsTrue, qt.Commentf("%d answered of 200 that the slots can run", answered))
+	c.Assert(rig.late["order"]*20 < answered, qt.IsTrue, qt.Commentf("%d late of %d", rig.late["order"], answered))
+}
+
 // TestRetryAfterFromBacklog guards against callers who are sent away without a time or with
 // one that has nothing to do with the backlog.
 func TestRetryAfterFromBacklog(t *testing.T) {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -61,15 +61,17 @@
 // after its wait; in an overload a longer queue would make most answers late.
 const holdMargin = 1.5
 
-// urgentPatience is the share of the time left that requests may take behind which others of
-// the service rank. They wait at the head of the queue, and refusing one rather than answering
-// it late may make the work of a caller in vain that itself holds a slot elsewhere.
+// urgentPatience is the share of the time left that short look-ups may take behind which others
+// of the service rank. They wait at the head of the queue, and refusing one rather than answering
+// it late may make the work of a caller in vain that itself holds a slot elsewhere. Orders and
+// uploads come from callers that can return: if they waited as long, all of them would be late in
+// an overload, and no more would be served.
 const urgentPatience = 0.7
 
 // latest returns when a request has to be answered for its wait to make sense.
 func (c *Controller) latest(now time.Time, ticket *Ticket) time.Time {
 	target := ticket.request.Target
-	if ticket.rank >= c.lastRank {
+	if ticket.rank >= c.lastRank || ticket.class != core.ClassLookup {
 		return target
 	}
 	left := time.Duration(urgentPatience * float64(ticket.request.Deadline.Sub(now)))
