--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -126,6 +126,8 @@
 	wantsWatch bool
 	// behind is the revision that a pulse showed and the watch has not delivered, 0 if none.
 	behind uint64
+	// strayAt is when a daemon was asked last regardless of its rank.
+	strayAt time.Time
 	// restUntil holds the daemons that are not asked for now.
 	restUntil map[core.HostName]time.Time
 
@@ -184,7 +186,7 @@
 // revision.
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.done)
-	retry := f.pace()
+	var retry backoff
 	var retryAt time.Time
 	isComplete := false
 	for ctx.Err() == nil {
@@ -192,7 +194,7 @@
 			isComplete = false
 		}
 		if isComplete && f.followRelay(ctx) {
-			retry, retryAt = f.pace(), time.Time{}
+			retry, retryAt = backoff{}, time.Time{}
 			continue
 		}
 		if rest := retryAt.Sub(f.config.Clock.Now()); rest > 0 {
@@ -208,7 +210,7 @@
 		switch {
 		case err == nil:
 			isComplete = true
-			retry, retryAt = f.pace(), time.Time{}
+			retry, retryAt = backoff{}, time.Time{}
 			continue
 		case ctx.Err() != nil:
 			return
@@ -219,6 +221,9 @@
 			continue
 		}
 		f.failed(err)
+		if retry.next == 0 {
+			retry = f.pace()
+		}
 		retryAt = f.config.Clock.Now().Add(retry.next/2 + rand.N(retry.next/2))
 		retry.next = min(retry.next*2, retry.longest)
 	}
@@ -226,6 +231,7 @@
 
 // backoff is the pause after a failed call of the store.
 type backoff struct {
+	// next is zero before the first failure.
 	next    time.Duration
 	longest time.Duration
 }
--- a/io/follow/pulse.go
+++ b/io/follow/pulse.go
@@ -38,7 +38,7 @@
 	if f.config.Relay == nil {
 		return false
 	}
-	if _, ok := f.source(now); !ok {
+	if _, _, ok := f.source(now); !ok {
 		return false
 	}
 	f.mu.Lock()
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -35,30 +35,30 @@
 
 // source returns the daemon to ask; ok is false if this daemon is to read the store itself.
 // Most daemons ask the first of their availability zone, which asks the first of the region. A
-// daemon that has lost the store asks others whatever their rank: the store may turn it away and
-// serve them.
-func (f *Follower) source(now time.Time) (host core.Host, ok bool) {
+// daemon that has lost the store also asks a stray one, whatever its rank: the store may turn
+// the others away and serve that one.
+func (f *Follower) source(now time.Time) (host core.Host, isStray, ok bool) {
 	zone, region := f.ranks()
 	if host, ok = f.before(now, zone, mostSources); ok {
-		return host, true
+		return host, false, true
 	}
 	if host, ok = f.before(now, region, 1); ok {
-		return host, true
+		return host, false, true
 	}
 	f.mu.Lock()
-	isLost := f.isLost
+	mayStray := f.isLost && !now.Before(f.strayAt.Add(shortRest))
 	f.mu.Unlock()
-	if !isLost {
-		return core.Host{}, false
+	if !mayStray {
+		return core.Host{}, false, false
 	}
 	others := slices.DeleteFunc(append(zone, region...), func(host core.Host) bool {
 		return host.Name == f.config.Self.Name
 	})
 	if len(others) == 0 {
-		return core.Host{}, false
+		return core.Host{}, false, false
 	}
-	// One at random in each round of rests bounds the questions in an outage.
-	return f.before(now, others[rand.N(len(others)):], 1)
+	host, ok = f.before(now, others[rand.N(len(others)):], 1)
+	return host, true, ok
 }
 
 // ranks returns the daemons of the own zone, and the first of each zone of the region with this
@@ -110,11 +110,15 @@
 	if f.config.Relay == nil {
 		return false
 	}
-	host, ok := f.source(f.config.Clock.Now())
+	now := f.config.Clock.Now()
+	host, isStray, ok := f.source(now)
 	if !ok {
 		return false
 	}
 	f.mu.Lock()
+	if isStray {
+		f.strayAt = now
+	}
 	after, wait := f.state.Revision(), relayWait
 	if f.isStale {
 		// Even an answer without changes confirms the content.
