--- /dev/null
+++ b/io/follow/view.go
@@ -0,0 +1,83 @@
+package follow
+
+import (
+	"time"
+
+	"verbenaway/core"
+)
+
+// Snapshot implements core.ConfigView.
+func (f *Follower) Snapshot() (*core.Snapshot, core.Kind) {
+	if !f.ready.Load() {
+		return nil, core.Starting
+	}
+	return f.view.Load().Snapshot, ""
+}
+
+// Observe implements core.ConfigView. A version that another daemon already uses, and that has
+// not arrived here for a while, makes this daemon read the store. Reading at once would be a
+// listing by each daemon for each change, since requests are faster than any other way.
+func (f *Follower) Observe(_ core.HostName, version core.Version) {
+	snapshot := f.view.Load().Snapshot
+	if snapshot == nil || version <= snapshot.Version {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.config.Clock.Now()
+	if f.hinted <= snapshot.Version {
+		f.hinted, f.hintedAt = version, now
+		return
+	}
+	if now.Sub(f.hintedAt) < hintPatience || now.Sub(f.askedAt) < leastListGap {
+		return
+	}
+	f.askedAt = now
+	f.wantsList = true
+	if f.interrupt != nil {
+		f.interrupt()
+	}
+}
+
+// Self implements core.MemberView.
+func (f *Follower) Self() core.Host {
+	return f.config.Self
+}
+
+// OfService implements core.MemberView.
+func (f *Follower) OfService(service core.ServiceName) []core.Member {
+	return f.view.Load().Members[service]
+}
+
+// OwnerLease implements core.MemberView: no daemon owns idempotency keys here.
+func (f *Follower) OwnerLease() time.Time {
+	return time.Time{}
+}
+
+// Departed implements core.MemberView.
+func (f *Follower) Departed(core.ServiceName) []core.Departure {
+	return nil
+}
+
+// Upstream returns the upstream that is registered at an address.
+func (f *Follower) Upstream(name core.HostName) (core.Member, bool) {
+	member, ok := f.view.Load().ByName[name]
+	return member, ok
+}
+
+// Size returns the number of upstreams in use.
+func (f *Follower) Size() int {
+	return len(f.view.Load().ByName)
+}
+
+// ContactAge returns the time since the store was heard last.
+func (f *Follower) ContactAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config.Clock.Now().Sub(f.contactAt)
+}
+
+// IsReady tells whether the daemon knows configuration and upstreams.
+func (f *Follower) IsReady() bool {
+	return f.ready.Load()
+}
