--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -385,10 +385,26 @@
 	c.Assert(counts, qt.DeepEquals, map[int]int{200: 20, 503: 20})
 }
 
-// TestEarlyRefusalOfUpload guards against an upload that an upstream refuses before it has read
+// TestEarlyRefusalIsNoSuccess guards against an upload that an upstream refuses before it has read
 // the body, and that the caller sees as served: while the rest of the body was awaited, the
 // gatekeeper sent the beginning of an answer of its own.
+func TestEarlyRefusalIsNoSuccess(t *testing.T) {
+	response := refuseUploadEarly(t)
+	qt.Assert(t, response.StatusCode >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%s", response.Status))
+}
+
+// TestEarlyRefusalOfUpload guards against a caller who does not learn that such an upload has not
+// run.
 func TestEarlyRefusalOfUpload(t *testing.T) {
+	response := refuseUploadEarly(t)
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, response.Header.Get(HeaderOutcome), qt.Equals, OutcomeNotRun)
+}
+
+// refuseUploadEarly returns the answer to an upload that the upstream of another host refuses while
+// the rest of the body is on its way.
+func refuseUploadEarly(t *testing.T) *http.Response {
+	t.Helper()
 	c := qt.New(t)
 	refuses := func(w http.ResponseWriter, r *http.Request) {
 		controller := http.NewResponseController(w)
@@ -402,14 +418,13 @@
 	rig := newMeshRig(t, nil, retry.WindowConfig{Span: time.Second}, refuses)
 	conn, err := net.Dial("tcp", rig.server.Listener.Addr().String())
 	c.Assert(err, qt.IsNil)
-	defer func() { _ = conn.Close() }()
+	t.Cleanup(func() { _ = conn.Close() })
 	c.Assert(conn.SetDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
 	// The rest of the body is on its way until the answer ends the upload.
 	_, err = fmt.Fprintf(conn, "POST /order/1 HTTP/1.1\r\nHost: mesh.test\r\nX-Wait: 2000\r\nContent-Length: 1000000\r\n\r\n%s", make([]byte, 200_000))
 	c.Assert(err, qt.IsNil)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	c.Assert(err, qt.IsNil)
-	defer func() { _ = response.Body.Close() }()
-	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
-	c.Assert(response.Header.Get(HeaderOutcome), qt.Equals, OutcomeNotRun)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
 }
