follow: a reader checks its watch by reads that are not stale

Around a compaction of the store's history, watches hear nothing while changes are made and then hang, and stale reads are 6 s behind.

Change: every second read of the revision is not stale, and a revision that the watch does not deliver within 150 ms leads to a listing instead of another watch, which would hang too. The case of TestFollower fails without it.

--- a/core/registry.go
+++ b/core/registry.go
@@ -16,9 +16,9 @@
 	// Watch returns the changes after a revision in the order of their revisions, or none
 	// after the wait.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (RegistryAnswer, error)
-	// Revision returns the revision of the store, which may be seconds old. It costs less than
-	// List.
-	Revision(ctx context.Context) (uint64, error)
+	// Revision returns the revision of the store. With mayBeStale it may be seconds old, which
+	// costs the store less. Both cost less than List.
+	Revision(ctx context.Context, mayBeStale bool) (uint64, error)
 	// Decode decodes an item. The result for an invalid item has only the item itself.
 	Decode(item RegistryItem) RegistryChange
 }
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -23,10 +23,15 @@
 	confirmWatchWait = 10 * time.Millisecond
 	// watchRateShare is the maximum share of the store's read rate that watches use.
 	watchRateShare = 0.5
-	// revisionReadInterval is the time between a reader's cheap, possibly stale reads of the
-	// revision. They tell it whether its watch is still served, and its followers that it still
-	// has contact with the store.
+	// revisionReadInterval is the time between a reader's reads of the revision. They tell it
+	// whether its watch is still served, and its followers that it still has contact with the
+	// store.
 	revisionReadInterval = 400 * time.Millisecond
+	// staleRevisionReads is the number of cheap, possibly stale reads between two that are not.
+	// Around a compaction, a watch may miss a change while stale reads are seconds behind.
+	staleRevisionReads = 1
+	// deliveryTime is how long the watch may take to deliver a revision that a read has shown.
+	deliveryTime = 150 * time.Millisecond
 	// maxContactAge is the time after a daemon's last contact with the store at which others stop
 	// following it. With relayWait and a read it stays below the two seconds within which a
 	// change has to be in force.
@@ -125,14 +130,14 @@
 	hintedAt      time.Time
 	// hintListedAt is when a hint last led to a listing.
 	hintListedAt time.Time
-	// cancelWatch ends the current watch of the store; nil while there is none.
+	// cancelWatch ends the current watch of the store; nil while there is none. watchNumber
+	// increases with each watch.
 	cancelWatch     context.CancelFunc
+	watchNumber     uint64
 	isListRequested bool
 	// isRewatchRequested is set when the current watch is canceled because it seems unresponsive
 	// or another daemon can be followed.
 	isRewatchRequested bool
-	// missedRevision is the revision that a read showed but the watch did not deliver, 0 if none.
-	missedRevision uint64
 	// randomAskedAt is when a daemon was last asked regardless of its rank.
 	randomAskedAt time.Time
 	// backoffUntil holds the time until which a daemon is not asked.
@@ -268,7 +273,7 @@
 		return nil
 	}
 	f.Counters.RevisionReads.Add(1)
-	_, err := f.config.Registry.Revision(ctx)
+	_, err := f.config.Registry.Revision(ctx, true)
 	return err
 }
 
@@ -298,6 +303,7 @@
 	defer cancel()
 	f.mu.Lock()
 	f.cancelWatch = cancel
+	f.watchNumber++
 	after := f.state.Revision()
 	wait := f.config.WatchWait
 	if f.isStale {
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -26,6 +26,8 @@
 	watchErr error
 	// isUnresponsive keeps watches from answering until they are canceled.
 	isUnresponsive bool
+	// staleRevision is the revision of reads that may be stale, 0 for the newest one.
+	staleRevision uint64
 	// isUnreachable keeps all calls from answering.
 	isUnreachable bool
 	changed       chan struct{}
@@ -124,12 +126,15 @@
 	}
 }
 
-func (r *fakeRegistry) Revision(ctx context.Context) (uint64, error) {
+func (r *fakeRegistry) Revision(ctx context.Context, mayBeStale bool) (uint64, error) {
 	if err := r.await(ctx); err != nil {
 		return 0, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if mayBeStale && r.staleRevision > 0 {
+		return r.staleRevision, r.err
+	}
 	return r.revision, r.err
 }
 
@@ -249,6 +254,13 @@
 			heal:   func(r *fakeRegistry) { r.isUnresponsive = false },
 			within: 3*time.Second + applyDeadline,
 		},
+		{
+			// The store compacts its history: watches hear nothing of the change, and reads that
+			// may be stale are seconds behind.
+			name:   "watches silent and stale reads behind",
+			fault:  func(r *fakeRegistry) { r.isUnresponsive, r.staleRevision = true, 1 },
+			within: applyDeadline,
+		},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/io/follow/revision.go
+++ b/io/follow/revision.go
@@ -7,32 +7,47 @@
 )
 
 // checkRevisions periodically reads the revision of the store while this daemon watches the store.
-// It cancels a watch that has not delivered the revision of one read by the time of the next.
+// If the watch does not deliver a revision that a read has shown, the content is listed.
 func (f *Follower) checkRevisions(ctx context.Context) {
 	defer close(f.checkDone)
+	staleReads := 0
 	for ctx.Err() == nil {
 		pause(ctx, revisionReadInterval*3/4+rand.N(revisionReadInterval/2))
-		f.mu.Lock()
-		isWatching := f.cancelWatch != nil
-		f.mu.Unlock()
+		watch, isWatching := f.currentWatch()
 		if !isWatching || ctx.Err() != nil {
 			continue
 		}
 		if f.cancelWatchForSource(f.config.Clock.Now()) {
 			continue
 		}
+		mayBeStale := staleReads < staleRevisionReads
+		staleReads++
+		if !mayBeStale {
+			staleReads = 0
+		}
 		f.Counters.RevisionReads.Add(1)
-		revision, err := f.config.Registry.Revision(ctx)
+		revision, err := f.config.Registry.Revision(ctx, mayBeStale)
 		if err != nil {
 			if ctx.Err() == nil {
 				f.markStoreDown(err)
 			}
 			continue
 		}
-		f.compareRevision(revision)
+		f.recordContact()
+		if f.isMissing(watch, revision) {
+			pause(ctx, deliveryTime)
+			f.listMissing(watch, revision)
+		}
 	}
 }
 
+// currentWatch returns the number of the current watch of the store; ok is false if there is none.
+func (f *Follower) currentWatch() (number uint64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watchNumber, f.cancelWatch != nil
+}
+
 // cancelWatchForSource cancels the watch of the store if there is a daemon to follow again.
 func (f *Follower) cancelWatchForSource(now time.Time) bool {
 	if f.config.Relay == nil {
@@ -51,23 +66,38 @@
 	return true
 }
 
-// compareRevision compares the revision of a stale read with what the watch has delivered, and
-// cancels an unresponsive watch.
-func (f *Follower) compareRevision(revision uint64) {
+// recordContact records that the store has answered. A watch that was parked during an outage may
+// never answer, so it is canceled.
+func (f *Follower) recordContact() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.state.Revision()
-	isUnresponsive := f.missedRevision > known || f.isStoreDown
 	if !f.isStoreDown {
 		f.contactAt = f.config.Clock.Now()
+		return
 	}
-	f.missedRevision = 0
-	if revision > known {
-		f.missedRevision = revision
-	}
-	// A watch that was parked during an outage may never answer.
-	if isUnresponsive && f.cancelWatch != nil {
+	if f.cancelWatch != nil {
 		f.isRewatchRequested = true
 		f.cancelWatch()
 	}
 }
+
+// isMissing reports whether a watch is still parked although the store has a newer revision.
+func (f *Follower) isMissing(watch, revision uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cancelWatch != nil && f.watchNumber == watch && f.state.Revision() < revision
+}
+
+// listMissing requests a listing if a watch has not delivered a revision. Another watch might not
+// deliver it either.
+func (f *Follower) listMissing(watch, revision uint64) {
+	if !f.isMissing(watch, revision) {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isListRequested = true
+	if f.cancelWatch != nil {
+		f.cancelWatch()
+	}
+}
