proxy: attempts end only at upstreams that their gatekeeper finds silent

Cause: an entry that saw no answers from a host for a while took it for unresponsive, put it into backoff and ended its idempotent attempts.

Either the answer or the cancellation comes first, never both.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -114,6 +114,9 @@
 	assumedColdUntil time.Time
 	starts           startWindow
 	serviceTimes     serviceTimes
+	// answeredAt is the time of the latest answer, or of the first start after it if no request
+	// was running.
+	answeredAt time.Time
 	// maxRank is the highest rank of the requests that the upstream may get.
 	maxRank int
 	wakes   []Wake
@@ -220,6 +223,7 @@
 		c.ramp.confirmBoot(bootID, ticket.suspicion)
 	}
 	if signal != SignalNone {
+		c.recordAnswerAt(now)
 		ticket.isFailed = signal != SignalAnswered
 		c.serviceTimes.recordOutcome(ticket.isFailed)
 	}
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -144,6 +144,9 @@
 	ticket.epoch = c.ramp.epoch
 	ticket.suspicion = c.ramp.suspicion
 	ticket.startedAt = now
+	if c.inFlight == 0 {
+		c.recordAnswerAt(now)
+	}
 	c.inFlight++
 	if c.service.ColdRate > 0 {
 		c.starts.record(now, c.coldPerSecond())
--- a/core/route/unresponsive.go
+++ b/core/route/unresponsive.go
@@ -66,6 +66,11 @@
 	return u.silentSince.Load() <= monotonicNanos(since) && u.isUnresponsive(now) && u.silence(now) > unresponsiveFactor*choice.expectedLatency
 }
 
+// RecordActivity records that the host of a choice has shown that it is responsive.
+func (b *Balancer) RecordActivity(now time.Time, choice Choice) {
+	choice.upstream.recordActivity(now)
+}
+
 // RecordUnresponsive puts an unresponsive host into backoff, longer each time until it answers.
 func (b *Balancer) RecordUnresponsive(now time.Time, choice Choice) {
 	choice.upstream.refused(now, unresponsiveBackoff, b.config.Random())
--- a/io/proxy/buffers.go
+++ b/io/proxy/buffers.go
@@ -28,6 +28,19 @@
 	bulkBuffers  = newBufferPool(bulkBytes)
 )
 
+// wholeAnswerPool returns the pool for an answer that is read completely before any of it is passed
+// on, so that one that breaks off can be replaced by another attempt; nil if it is streamed.
+func wholeAnswerPool(method string, response *http.Response) *bufferPool {
+	length := response.ContentLength
+	switch {
+	case method == http.MethodHead || response.Body == http.NoBody || length < 0 || length > maxBufferedBytes:
+		return nil
+	case length <= smallBodyBytes:
+		return smallBuffers
+	}
+	return bodyBuffers
+}
+
 type bufferPool struct {
 	pool sync.Pool
 }
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"verbenaway/core"
 	"verbenaway/core/dedup"
 	"verbenaway/core/retry"
@@ -74,6 +76,8 @@
 	leaving  atomic.Bool
 	// idle receives a value when the last request in flight ends during Drain.
 	idle chan struct{}
+	// probes combines simultaneous probes of the same host.
+	probes singleflight.Group
 }
 
 // entryView holds what the entry derives from one snapshot.
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -40,8 +40,10 @@
 	target time.Time
 	ctx    context.Context
 	cancel context.CancelFunc
-	// attemptCtx is the context of the current attempt, set by send.
+	// attemptCtx is the context of the current attempt, and watch the one that may cancel it; both
+	// are set by send.
 	attemptCtx context.Context
+	watch      *unresponsiveWatch
 	// A request body is either buffered in body, a part of buffer, or read from stream.
 	body   []byte
 	buffer *[]byte
@@ -249,16 +251,15 @@
 }
 
 func (c *call) send() result {
-	var watch *unresponsiveWatch
-	c.attemptCtx, watch = c.watchUnresponsive()
-	defer watch.stop()
+	c.attemptCtx, c.watch = c.watchUnresponsive()
+	defer c.watch.stop()
 	var r result
 	if c.entry.config.LocalGate != nil && c.choice.Host.Name == c.entry.config.Self.Name {
 		r = c.sendLocal()
 	} else {
 		r = c.sendRemote()
 	}
-	if !r.answered && watch.hasCanceled() && c.ctx.Err() == nil {
+	if !r.answered && !r.failure.NotRun && c.watch.hasCanceled() && c.ctx.Err() == nil {
 		return c.lostAnswer(string(c.choice.Host.Name) + " gives no sign of life")
 	}
 	return r
--- a/io/proxy/entry_count.go
+++ b/io/proxy/entry_count.go
@@ -23,6 +23,8 @@
 	Aborted expvar.Int
 	// LocalAttempts counts the attempts sent to the gatekeeper in the same process.
 	LocalAttempts expvar.Int
+	// Probes counts the probes of hosts that seem unresponsive.
+	Probes expvar.Int
 	// OtherRegionBytes counts the request bytes that were sent to other regions.
 	OtherRegionBytes expvar.Int
 	// Refusals counts refusals by kind.
--- a/io/proxy/entry_local.go
+++ b/io/proxy/entry_local.go
@@ -93,6 +93,11 @@
 	w.isStarted = true
 	w.call.recordAnswerHeaders(w.header)
 	w.isRefusal = firstValue(w.header, keyError) != ""
+	if !w.isRefusal && !w.call.watch.beginAnswer() {
+		// Nothing was sent to the caller, so that the request can be retried.
+		w.isStarted = false
+		panic(http.ErrAbortHandler)
+	}
 	if !w.isRefusal {
 		w.call.entry.balancer.RecordAnswer(w.call.choice)
 		w.call.writeHeader(status, w.header)
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -153,9 +153,33 @@
 	if refused {
 		return r
 	}
+	if !c.watch.beginAnswer() {
+		return c.lostAnswer("the attempt was canceled as its answer began")
+	}
+	pool := wholeAnswerPool(c.request.Method, response)
+	if pool == nil {
+		c.entry.balancer.RecordAnswer(c.choice)
+		c.writeHeader(response.StatusCode, response.Header)
+		c.copyAnswer(response)
+		return result{
+			answered: true,
+		}
+	}
+	buffer := pool.get()
+	defer pool.put(buffer)
+	body := (*buffer)[:response.ContentLength]
+	if _, err = io.ReadFull(response.Body, body); err != nil {
+		if c.ctx.Err() != nil {
+			return c.interrupted(true)
+		}
+		return c.lostAnswer("the answer of " + string(c.choice.Host.Name) + " broke off: " + err.Error())
+	}
 	c.entry.balancer.RecordAnswer(c.choice)
 	c.writeHeader(response.StatusCode, response.Header)
-	c.copyAnswer(response)
+	if err = c.write(body); err != nil {
+		c.abort()
+	}
+	c.endAnswer(response)
 	return result{
 		answered: true,
 	}
@@ -284,11 +308,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) && !endsAtClose {
-			for name, values := range response.Trailer {
-				c.reply.w.Header()[http.TrailerPrefix+name] = values
-			}
-			c.entry.Counters.Answers.Add(1)
-			c.logAnswer("", c.reply.status, "")
+			c.endAnswer(response)
 			return
 		}
 		if err != nil {
@@ -297,6 +317,15 @@
 	}
 }
 
+// endAnswer ends an answer whose whole body was passed on.
+func (c *call) endAnswer(response *http.Response) {
+	for name, values := range response.Trailer {
+		c.reply.w.Header()[http.TrailerPrefix+name] = values
+	}
+	c.entry.Counters.Answers.Add(1)
+	c.logAnswer("", c.reply.status, "")
+}
+
 // abort aborts the caller's connection, so that the caller sees that the answer is incomplete.
 func (c *call) abort() {
 	c.entry.Counters.Aborted.Add(1)
--- a/io/proxy/entry_unresponsive.go
+++ b/io/proxy/entry_unresponsive.go
@@ -2,23 +2,39 @@
 
 import (
 	"context"
+	"net/http"
+	"net/url"
 	"sync"
 	"time"
+
+	"verbenaway/core"
+	"verbenaway/core/route"
 )
 
-// unresponsivePollInterval is the interval between checks of the host of an attempt.
-const unresponsivePollInterval = 100 * time.Millisecond
+const (
+	// unresponsivePollInterval is the interval between checks of the host of an attempt.
+	unresponsivePollInterval = 100 * time.Millisecond
+	// probeTimeout bounds the probe of a host. It allows for a connection to another region and a
+	// busy daemon.
+	probeTimeout = 250 * time.Millisecond
+)
 
-// unresponsiveWatch cancels an attempt on an unresponsive host.
+// unresponsiveWatch cancels an attempt on an unresponsive host. It is the only one to end an attempt
+// before its deadline, and it cannot once the answer has begun: either the answer or the
+// cancellation comes first.
 type unresponsiveWatch struct {
 	call    *call
+	choice  route.Choice
 	started time.Time
 	cancel  context.CancelFunc
+	// canRetry means that the request may be sent to another host after the cancellation.
+	canRetry bool
 
 	mu         sync.Mutex
 	timer      *time.Timer
 	isCanceled bool
-	isStopped  bool
+	// isEnded is set when the answer begins or the attempt ends.
+	isEnded bool
 }
 
 // watchUnresponsive returns the context of an attempt. If the host becomes unresponsive, requests
@@ -29,8 +45,10 @@
 		return c.ctx, nil
 	}
 	w := &unresponsiveWatch{
-		call:    c,
-		started: c.entry.config.Clock.Now(),
+		call:     c,
+		choice:   c.choice,
+		started:  c.entry.config.Clock.Now(),
+		canRetry: c.idempotent && c.stream == nil && c.receivedAttempts+1 < c.route.Spec.MaxAttempts,
 	}
 	var ctx context.Context
 	ctx, w.cancel = context.WithCancel(c.ctx)
@@ -40,36 +58,65 @@
 	return ctx, w
 }
 
-// check schedules the next check. If the host is unresponsive, it instead puts the host into backoff
-// and cancels the attempt if the request may be retried.
+// check schedules the next check. If answers are missing and the gatekeeper confirms that its
+// upstream is silent, or does not answer itself, check instead puts the host into backoff and
+// cancels the attempt if the request may be retried.
 func (w *unresponsiveWatch) check() {
+	entry := w.call.entry
+	isUnresponsive := entry.balancer.IsUnresponsive(entry.config.Clock.Now(), w.started, w.choice)
+	if isUnresponsive && entry.isResponsive(w.choice.Host) {
+		isUnresponsive = false
+		entry.balancer.RecordActivity(entry.config.Clock.Now(), w.choice)
+	}
+	if !isUnresponsive {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.isEnded {
+			w.timer.Reset(unresponsivePollInterval)
+		}
+		return
+	}
+	entry.balancer.RecordUnresponsive(entry.config.Clock.Now(), w.choice)
+	// During a planned stop, waiting for the answer is better than another attempt.
+	if w.canRetry && !entry.isLeaving() {
+		w.cancelAttempt()
+	}
+}
+
+// cancelAttempt cancels the attempt unless its answer has begun.
+func (w *unresponsiveWatch) cancelAttempt() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.isStopped {
+	if w.isEnded {
 		return
 	}
-	c := w.call
-	now := c.entry.config.Clock.Now()
-	if !c.entry.balancer.IsUnresponsive(now, w.started, c.choice) {
-		w.timer.Reset(unresponsivePollInterval)
-		return
+	w.isCanceled = true
+	w.cancel()
+}
+
+// beginAnswer reports whether the attempt may still be answered, which is then no longer canceled.
+func (w *unresponsiveWatch) beginAnswer() bool {
+	if w == nil {
+		return true
 	}
-	c.entry.balancer.RecordUnresponsive(now, c.choice)
-	canRetry := c.idempotent && c.stream == nil && c.receivedAttempts+1 < c.route.Spec.MaxAttempts
-	// During a planned stop, waiting for the answer is better than another attempt.
-	if canRetry && !c.entry.isLeaving() {
-		w.isCanceled = true
-		w.cancel()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isCanceled {
+		return false
 	}
+	w.isEnded = true
+	w.timer.Stop()
+	return true
 }
 
+// stop ends the attempt.
 func (w *unresponsiveWatch) stop() {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.isStopped = true
+	w.isEnded = true
 	w.timer.Stop()
 	w.cancel()
 }
@@ -82,3 +129,35 @@
 	defer w.mu.Unlock()
 	return w.isCanceled
 }
+
+// isResponsive asks the gatekeeper on a host whether its upstream is responsive. Attempts on the same
+// host share a probe.
+func (e *Entry) isResponsive(host core.Host) bool {
+	answer, _, _ := e.probes.Do(string(host.Name), func() (any, error) {
+		e.Counters.Probes.Add(1)
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		request := (&http.Request{
+			Method: http.MethodGet,
+			URL: &url.URL{
+				Scheme: "http",
+				Host:   host.GateAddress,
+				Path:   "/",
+			},
+			Header: http.Header{
+				keyProbe: probeValue,
+			},
+		}).WithContext(ctx)
+		response, err := e.transport.RoundTrip(request)
+		if err != nil {
+			return false, nil
+		}
+		defer func() {
+			_ = response.Body.Close()
+		}()
+		return response.StatusCode != http.StatusServiceUnavailable, nil
+	})
+	return answer.(bool)
+}
+
+var probeValue = []string{"true"}
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -121,6 +121,10 @@
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.requestDone()
+	if _, isProbe := r.Header[keyProbe]; isProbe {
+		g.serveProbe(w)
+		return
+	}
 	call, kind, detail := g.newCall(w, r)
 	if kind != "" {
 		call.refuse(kind, detail)
--- a/io/proxy/gate_answer.go
+++ b/io/proxy/gate_answer.go
@@ -18,7 +18,11 @@
 	if c.recorder != nil {
 		c.recorder.start(response.StatusCode, gateCopyHeader(http.Header{}, response.Header, gateNotForCaller))
 	}
-	buffered, kind, detail := c.bufferAnswer(response)
+	var pool *bufferPool
+	if c.gate.config.Dialect != nil {
+		pool = wholeAnswerPool(c.request.Method, response)
+	}
+	buffered, kind, detail := c.bufferAnswer(pool, response)
 	if kind != "" {
 		return kind, detail
 	}
@@ -27,7 +31,7 @@
 	var readErr, writeErr error
 	if buffered != nil {
 		_, writeErr = c.writer.Write(*buffered)
-		smallBuffers.put(buffered)
+		pool.put(buffered)
 	} else {
 		readErr, writeErr = c.copyAnswer(response)
 	}
@@ -52,18 +56,17 @@
 	return c.lostAnswerKind(true), "the answer broke off: " + readErr.Error()
 }
 
-// bufferAnswer reads a small answer completely before any of it is sent, so that a truncated one
-// becomes a refusal, after which the entry can use another upstream. It returns nil for answers
-// that are streamed.
-func (c *gateCall) bufferAnswer(response *http.Response) (*[]byte, core.ErrorKind, string) {
-	length := response.ContentLength
-	if c.gate.config.Dialect == nil || length < 0 || length > smallBodyBytes || c.request.Method == http.MethodHead {
+// bufferAnswer reads an answer of moderate size completely before any of it is sent, so that a
+// truncated one becomes a refusal, after which the entry can use another upstream. It returns nil
+// for answers that are streamed.
+func (c *gateCall) bufferAnswer(pool *bufferPool, response *http.Response) (*[]byte, core.ErrorKind, string) {
+	if pool == nil {
 		return nil, "", ""
 	}
-	buffer := smallBuffers.get()
-	body := (*buffer)[:length]
+	buffer := pool.get()
+	body := (*buffer)[:response.ContentLength]
 	if _, err := io.ReadFull(response.Body, body); err != nil {
-		smallBuffers.put(buffer)
+		pool.put(buffer)
 		header := c.writer.Header()
 		clear(header)
 		if c.isAbandoned() {
--- a/io/proxy/gate_events.go
+++ b/io/proxy/gate_events.go
@@ -25,6 +25,8 @@
 	Delegated expvar.Int
 	// Replayed counts idempotent requests that net/http sent again on a new connection.
 	Replayed expvar.Int
+	// Probes counts the probes of entries.
+	Probes expvar.Int
 	// Refused counts refusals by error kind.
 	Refused expvar.Map
 }
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -34,6 +34,8 @@
 	// HeaderRetryAfter in a refusal is the time until a free slot is expected, in whole
 	// milliseconds.
 	HeaderRetryAfter = "Verbenaway-RetryAfterMs"
+	// HeaderProbe asks a gatekeeper whether its upstream is responsive, instead of a request.
+	HeaderProbe = "Verbenaway-Probe"
 	// HeaderLoad in an answer is "inFlight/limit" of the upstream that sent it. Where upstreams
 	// register themselves, "/queueUs/serviceUs/failedPermille" follows: the expected queue time
 	// and service time of a new request of the route, in microseconds, and the failure ratio of
@@ -54,6 +56,7 @@
 // canonicalize them each time.
 var (
 	keyArrived     = http.CanonicalHeaderKey(HeaderArrived)
+	keyProbe       = http.CanonicalHeaderKey(HeaderProbe)
 	keyNoWait      = http.CanonicalHeaderKey(HeaderNoWait)
 	keyRetryAfter  = http.CanonicalHeaderKey(HeaderRetryAfter)
 	keyService     = http.CanonicalHeaderKey(HeaderService)
@@ -118,4 +121,5 @@
 	HeaderNoWait,
 	HeaderArrived,
 	HeaderRetryAfter,
+	HeaderProbe,
 }
