proxy: a refusal of an upload is read before its connection closes

Cause (traced): the HTTP server of the gatekeeper closes a connection with unread body bytes at once if the request has Expect: 100-continue; the connection is reset, the entry's write of the body fails before it has read the refusal, and its caller gets 502 instead of 503 notRun (8 of 60 runs of TestEarlyRefusalOfUpload).

--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -418,6 +418,9 @@
 	}
 	c.logAnswer(kind, status, detail)
 	refuseWithStatus(c.reply.w, kind, status, detail)
+	if c.stream != nil && !c.stream.isComplete() && !c.isClaimed {
+		linger(c.reply.w, c.stream.body)
+	}
 }
 
 // closesConnection reports whether the caller's connection is closed after this answer.
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -137,6 +137,7 @@
 	if kind, detail = call.run(); kind != "" {
 		call.refuse(kind, detail)
 	}
+	call.linger()
 }
 
 // requestDone signals a waiting Drain when the last request has ended.
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -315,6 +315,14 @@
 	Refuse(c.writer, kind, detail)
 }
 
+// linger reads the rest of a body that the upstream did not read. An entry in the same process has
+// no connection that could be reset.
+func (c *gateCall) linger() {
+	if _, isLocal := c.writer.(*localWriter); !isLocal && c.body != nil && !c.body.isAtEnd() {
+		linger(c.writer, c.request.Body)
+	}
+}
+
 // permille is the unit of the failure ratio in HeaderLoad.
 const permille = 1000
 
