proxy: pipelined requests survive a stale deadline and an early background read

Cause (traced): the server ends its background read by a deadline in the past and removes it at once. The error of that deadline could reach the loop that reads ahead late, and the next read of the server then took it for a disconnected caller: 'canceled: the caller went away' (8 of 400 runs of TestPipelinedSlowAnswers). A background read that came before its handler had started took the first byte of the next request, which then was not started early (5 of 150 runs of TestPipelinedCallerLeaves).

--- a/io/proxy/early_conn.go
+++ b/io/proxy/early_conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"time"
 )
 
 const (
@@ -83,25 +84,60 @@
 	earlyBytes int
 	earlyCalls []*earlyCall
 	isHandling bool
+	// framedRequests counts the requests whose boundaries are known, startedHandlers those that
+	// have got a handler.
+	framedRequests  int
+	startedHandlers int
 	// isReadingAhead means that readAheadLoop is running.
 	isReadingAhead bool
 	// isReadWaiting means that Read waits for readAheadLoop.
 	isReadWaiting bool
+	// readDeadline is the read deadline that the server has set, zero for none.
+	readDeadline time.Time
 	// err ended the reading from the network.
 	err error
 }
 
-// Read returns bytes of the server's current request only. While a handler runs, the server
-// reads a single byte to detect a disconnected caller; this read starts readAheadLoop.
+// SetReadDeadline implements net.Conn. The server ends a read by a deadline in the past and removes
+// the deadline afterwards. An error of the former must not end a later read.
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = deadline
+	if errors.Is(c.err, os.ErrDeadlineExceeded) && !c.isDeadlinePast() {
+		c.err = nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *callerConn) SetDeadline(deadline time.Time) error {
+	return errors.Join(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
+}
+
+// isDeadlinePast reports whether reads fail because of the read deadline. The caller holds mu.
+func (c *callerConn) isDeadlinePast() bool {
+	return !c.readDeadline.IsZero() && !time.Now().Before(c.readDeadline)
+}
+
+// Read returns bytes of the server's current request only. While a handler runs, or just before, the
+// server reads a single byte to detect a disconnected caller; this read starts readAheadLoop.
 func (c *callerConn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isHandling && len(p) == 1 && !c.isReadingAhead && c.err == nil {
+	isBackground := len(p) == 1
+	if isBackground && c.isServing() && !c.isReadingAhead && c.err == nil {
 		c.isReadingAhead = true
 		go c.readAheadLoop()
 	}
 	for {
-		if n := c.copyNext(p); n > 0 {
+		n := 0
+		// Before the handler has started, the next request must stay whole, so that it can be
+		// started early.
+		if !isBackground || !c.isHandlerDue() {
+			n = c.copyNext(p)
+		}
+		if n > 0 {
 			return n, nil
 		}
 		if c.err != nil {
@@ -122,6 +158,16 @@
 	}
 }
 
+// isHandlerDue reports whether the server has got a request whose handler has not started yet.
+func (c *callerConn) isHandlerDue() bool {
+	return c.startedHandlers < c.framedRequests
+}
+
+// isServing reports whether a handler runs or is about to.
+func (c *callerConn) isServing() bool {
+	return c.isHandling || c.isHandlerDue()
+}
+
 // waitForChange waits for a change of the state. The caller holds mu.
 func (c *callerConn) waitForChange() {
 	c.isReadWaiting = true
@@ -150,6 +196,9 @@
 	n, err := c.Conn.Read(*buffer)
 	c.mu.Lock()
 	c.readAhead = append(c.readAhead, (*buffer)[:n]...)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.isDeadlinePast() {
+		err = nil
+	}
 	if c.err == nil {
 		c.err = err
 	}
@@ -207,6 +256,7 @@
 		c.isPassThrough = true
 		return
 	}
+	c.framedRequests++
 	c.currentBytes = int(min(int64(end)+request.ContentLength, int64(len(c.readAhead))))
 	c.bodyLeft = int64(end) + request.ContentLength - int64(c.currentBytes)
 	c.earlyBytes = max(c.earlyBytes-c.currentBytes, 0)
@@ -216,8 +266,8 @@
 func (c *callerConn) readAheadLoop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.isHandling && c.err == nil {
-		for c.isHandling && len(c.readAhead) >= maxReadAheadBytes {
+	for c.isServing() && c.err == nil {
+		for c.isServing() && len(c.readAhead) >= maxReadAheadBytes {
 			c.changed.Wait()
 		}
 		c.readMore()
@@ -279,6 +329,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isHandling = true
+	c.startedHandlers++
+	defer c.changed.Broadcast()
 	defer c.startEarlyCalls()
 	if len(c.earlyCalls) == 0 {
 		return nil
