fleet: daemons listen on addresses of their own

Cause: a daemon that starts again on its old port found it taken (address already in use): all daemons had the address 127.0.0.1, so that any outgoing connection may get the port of a stopped daemon from the ephemeral range.

Change: each daemon has its own loopback address; outgoing connections have 127.0.0.1.

Measured: go test ./io/fleet passed.

--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -93,11 +93,12 @@
 	}
 	f.server = server
 	for i := range config.Daemons {
+		address := daemonAddress(i)
 		d, buildErr := f.newDaemon(i, conf.ListenSettings{
-			Caller: "127.0.0.1:0",
-			Gate:   "127.0.0.1:0",
-			Peer:   "127.0.0.1:0",
-			Admin:  "127.0.0.1:0",
+			Caller: address,
+			Gate:   address,
+			Peer:   address,
+			Admin:  address,
 		})
 		if buildErr != nil {
 			return nil, buildErr
@@ -108,6 +109,15 @@
 	return f, nil
 }
 
+// daemonsPerBlock is the number of daemons in a block of 256 addresses.
+const daemonsPerBlock = 250
+
+// daemonAddress returns the address of daemon i, with any free port. Outgoing connections have the
+// address 127.0.0.1, so that none of them can take a port on which a daemon is to start again.
+func daemonAddress(i int) string {
+	return fmt.Sprintf("127.77.%d.%d:0", i/daemonsPerBlock, i%daemonsPerBlock+1)
+}
+
 // newDaemon creates daemon i on the given addresses, with its upstream if there is none yet.
 func (f *Fleet) newDaemon(i int, listen conf.ListenSettings) (*daemon.Daemon, error) {
 	zone := f.config.Zones[i%len(f.config.Zones)]
