daemon: a status that the agent does not give in time is an error

Cause: Daemon.Status returned empty fields after its timeout; a busy machine made TestPromiseInvalidNoteChangesNothing see a status without refused notes.

The tests of the promises ask again within the time in which a version has to be in force.

--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -13,7 +13,8 @@
 
 // Config provides the data that the admin handler serves.
 type Config struct {
-	Status func() Status
+	// Status returns an error if the control plane of the daemon does not answer in time.
+	Status func() (Status, error)
 	// Hosts returns the known hosts, including dead ones that are in the host list.
 	Hosts   func() []core.Host
 	Events  func() []core.Event
@@ -26,7 +27,12 @@
 func NewHandler(config Config) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
-		writeJSON(w, config.Status())
+		status, err := config.Status()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		writeJSON(w, status)
 	})
 	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, config.Hosts())
--- a/io/daemon/status.go
+++ b/io/daemon/status.go
@@ -6,13 +6,15 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"verbenaway/core"
 	"verbenaway/core/route"
 	"verbenaway/io/admin"
 )
 
-// statusTimeout bounds the wait for the control plane, so that Status returns even if the
-// agent's event loop is blocked.
+// statusTimeout bounds the wait for the agent, so that Status returns even if its event loop is
+// blocked.
 const statusTimeout = time.Second
 
 var memberStateNames = []string{
@@ -23,8 +25,9 @@
 	core.MemberLeft:    "left",
 }
 
-// Status returns the state of the daemon for the admin interface.
-func (d *Daemon) Status() admin.Status {
+// Status returns the state of the daemon for the admin interface, or an error if the agent does not
+// answer within statusTimeout.
+func (d *Daemon) Status() (admin.Status, error) {
 	inFlight, limit := d.gate.Load()
 	status := admin.Status{
 		Host:             d.self.Name,
@@ -41,9 +44,7 @@
 	defer cancel()
 	state, err := d.agent.Status(ctx)
 	if err != nil {
-		status.NotServing = core.Internal
-		status.LagReason = err.Error()
-		return status
+		return admin.Status{}, errors.Wrap(err, "the agent does not answer")
 	}
 	status.Version = state.Version
 	status.Hash = state.Hash
@@ -60,7 +61,7 @@
 	for memberState, count := range state.Members {
 		status.MemberCounts[memberStateNames[memberState]] = count
 	}
-	return status
+	return status, nil
 }
 
 // explain returns the decision that the entry would make for a request.
--- a/io/fleet/promise_answer_test.go
+++ b/io/fleet/promise_answer_test.go
@@ -30,7 +30,8 @@
 	requests := startStream(t, f, f.FindDaemons(anyHost), 60, lookupRequest)
 	awaitWorkEverywhere(t, f)
 	await(t, startBound, "a gatekeeper admits more than a cold upstream can run", func() bool {
-		return f.Daemons[0].Status().ConcurrencyLimit >= 8
+		status, err := f.Daemons[0].Status()
+		return err == nil && status.ConcurrencyLimit >= 8
 	})
 	f.Upstreams[0].SetFaults(stand.UpstreamFaults{
 		ColdStart: true,
--- a/io/fleet/promise_version_test.go
+++ b/io/fleet/promise_version_test.go
@@ -10,6 +10,8 @@
 
 	"verbenaway/core"
 	"verbenaway/core/note"
+	"verbenaway/io/admin"
+	"verbenaway/io/daemon"
 	"verbenaway/io/fleet"
 	"verbenaway/io/stand"
 )
@@ -71,11 +73,22 @@
 	},
 }
 
+// statusOf returns the status of a daemon, whose agent may answer late on a busy machine.
+func statusOf(c *qt.C, d *daemon.Daemon) admin.Status {
+	for end := time.Now().Add(inForceBound); ; {
+		status, err := d.Status()
+		if err == nil {
+			return status
+		}
+		c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("%v", err))
+	}
+}
+
 // restartReaders restarts the daemons that read the store.
 func restartReaders(c *qt.C, f *fleet.Fleet) {
 	readers := 0
 	for i, d := range f.Daemons {
-		if slices.Contains(d.Status().Roles, "reader") {
+		if slices.Contains(statusOf(c, d).Roles, "reader") {
 			readers++
 			c.Assert(f.Restart(i), qt.IsNil)
 		}
@@ -119,7 +132,7 @@
 // anyReportsStoreError returns whether any daemon reports the given error of the store.
 func anyReportsStoreError(f *fleet.Fleet, kind core.ErrorKind) bool {
 	for _, d := range f.Daemons {
-		if d.Status().StoreError == kind {
+		if status, err := d.Status(); err == nil && status.StoreError == kind {
 			return true
 		}
 	}
@@ -219,7 +232,7 @@
 	for _, d := range f.Daemons {
 		c.Check(routeTimeout(d), qt.Equals, 600*time.Millisecond)
 		got := map[core.Version]core.ErrorKind{}
-		for _, refused := range d.Status().Refused {
+		for _, refused := range statusOf(c, d).Refused {
 			got[refused.Version] = refused.Kind
 			c.Check(refused.Reason, qt.Not(qt.Equals), "")
 		}
@@ -265,7 +278,7 @@
 	c.Check(winner == 601*time.Millisecond || winner == 602*time.Millisecond, qt.IsTrue)
 	for _, d := range f.Daemons {
 		c.Check(routeTimeout(d), qt.Equals, winner)
-		refused := d.Status().Refused
+		refused := statusOf(c, d).Refused
 		c.Assert(refused, qt.HasLen, 1)
 		c.Check(refused[0].Version, qt.Equals, core.Version(3))
 		c.Check(refused[0].Kind, qt.Equals, core.NoteConflict)
--- a/io/opctl/admin_test.go
+++ b/io/opctl/admin_test.go
@@ -32,7 +32,7 @@
 
 func newAdminHandler(status admin.Status, hosts []core.Host, events []core.Event) http.Handler {
 	return admin.NewHandler(admin.Config{
-		Status:  func() admin.Status { return status },
+		Status:  func() (admin.Status, error) { return status, nil },
 		Hosts:   func() []core.Host { return hosts },
 		Events:  func() []core.Event { return events },
 		Explain: func(request admin.ExplainRequest) any { return request },
