follow: a whole system that starts looks for others by stale reads

Change: for two seconds, a starting daemon that knows no other one of its region reads the revision, stale, every 400 ms, and lists again when it changes; then it asks the others as before. A reader makes no reads just after its watch has answered. TestWholeSystemStarts fails without it (41 watches by 20 daemons).

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -68,6 +68,11 @@
 	// startupPeriod is how long a daemon that has just started asks others before it confirms
 	// its content at the store; daemons that start together are all up within it.
 	startupPeriod = 500 * time.Millisecond
+	// loneStartPeriod is how long a daemon that has just started and knows no other one of its
+	// region looks for them by stale reads, every loneReadInterval. When the whole system starts,
+	// the upstreams register within it; without it, every daemon would watch the store meanwhile.
+	loneStartPeriod  = 2 * time.Second
+	loneReadInterval = 400 * time.Millisecond
 	// startupRetryInterval is the pause between its requests while the daemons that it asks do
 	// not listen yet.
 	startupRetryInterval = 80 * time.Millisecond
@@ -125,6 +130,8 @@
 	contactAt       time.Time
 	watchAnsweredAt time.Time
 	startedAt       time.Time
+	// loneAt is when this daemon, still starting, last knew no other one of its region.
+	loneAt time.Time
 	// hintedVersion is a newer version that requests have shown since hintedAt, 0 if none.
 	hintedVersion core.Version
 	hintedAt      time.Time
@@ -214,10 +221,14 @@
 			continue
 		}
 		err := f.probeStore(ctx)
-		if err == nil && isComplete {
-			err = f.watch(ctx)
-		} else if err == nil {
+		switch {
+		case err != nil:
+		case !isComplete:
 			err = f.listAll(ctx)
+		case f.isLoneStart():
+			err = f.lookForOthers(ctx)
+		default:
+			err = f.watch(ctx)
 		}
 		switch {
 		case err == nil:
@@ -283,12 +294,16 @@
 	f.mu.Lock()
 	isFirst := f.state.Revision() == 0
 	f.mu.Unlock()
+	return f.list(ctx, isFirst)
+}
+
+func (f *Follower) list(ctx context.Context, mayBeStale bool) error {
 	f.Counters.Lists.Add(1)
-	listing, err := f.config.Registry.List(ctx, isFirst)
+	listing, err := f.config.Registry.List(ctx, mayBeStale)
 	if err != nil {
 		return err
 	}
-	f.applyListing(listing, isFirst)
+	f.applyListing(listing, mayBeStale)
 	return nil
 }
 
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -85,6 +85,16 @@
 	})
 }
 
+// register adds an upstream in zone a. The caller holds mu or has the only reference.
+func (r *fakeRegistry) register(name core.HostName) {
+	r.revision++
+	r.items = append(r.items, core.RegistryItem{
+		Key:      string(name),
+		Revision: r.revision,
+		Value:    []byte("a"),
+	})
+}
+
 // set changes the store and wakes watches.
 func (r *fakeRegistry) set(change func()) {
 	r.mu.Lock()
@@ -378,3 +388,24 @@
 	defer func() { _ = restarted.Stop(t.Context()) }()
 	waitUntil(t, 100*time.Millisecond, restarted.IsReady)
 }
+
+// TestWholeSystemStarts guards against several calls to the store by each daemon when the whole
+// system starts for the first time: no upstream has registered yet, so that no daemon knows of
+// another one. The upstreams register a second later, one after the other.
+func TestWholeSystemStarts(t *testing.T) {
+	c := qt.New(t)
+	names := make([]core.HostName, 20)
+	for i := range names {
+		names[i] = core.HostName(fmt.Sprintf("d%02d", i))
+	}
+	zone := startTestZone(t, names, nil)
+	time.Sleep(time.Second)
+	for _, name := range names {
+		zone.register(name)
+		time.Sleep(5 * time.Millisecond)
+	}
+	zone.waitVersion(t, 1, 2*applyDeadline)
+	waitUntil(t, 2*sourceBackoff, func() bool { return len(zone.readers()) == 1 })
+	watches := zone.watches("")
+	c.Assert(watches <= len(names), qt.IsTrue, qt.Commentf("%d watches by %d daemons", watches, len(names)))
+}
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -160,12 +160,6 @@
 	return f.followRelay(ctx)
 }
 
-// isStarting reports whether the daemon has just started. It then keeps asking daemons that may
-// be about to confirm their content, so that not each of them calls the store.
-func (f *Follower) isStarting() bool {
-	return !f.ready.Load() && f.config.Clock.Now().Sub(f.startedAt) < startupPeriod
-}
-
 // Follow implements core.RelayServer.
 func (f *Follower) Follow(ctx context.Context, request core.FollowRequest) (core.FollowAnswer, error) {
 	timer := time.NewTimer(request.Wait)
--- a/io/follow/relay_test.go
+++ b/io/follow/relay_test.go
@@ -30,6 +30,12 @@
 }
 
 func newTestZone(t *testing.T, names ...core.HostName) *testZone {
+	t.Helper()
+	return startTestZone(t, names, names)
+}
+
+// startTestZone starts daemons whose stores hold the upstreams of registered.
+func startTestZone(t *testing.T, names, registered []core.HostName) *testZone {
 	t.Helper()
 	zone := &testZone{
 		followers:   map[core.HostName]*Follower{},
@@ -38,9 +44,8 @@
 	}
 	for _, name := range names {
 		store := newFakeRegistry()
-		for _, other := range names {
-			store.revision++
-			store.items = append(store.items, core.RegistryItem{Key: string(other), Revision: store.revision, Value: []byte("a")})
+		for _, other := range registered {
+			store.register(other)
 		}
 		store.write(1)
 		zone.stores[name] = store
@@ -80,6 +85,13 @@
 	return z.followers[core.HostName(address)].Follow(ctx, request)
 }
 
+// register adds an upstream to the stores of all daemons.
+func (z *testZone) register(name core.HostName) {
+	for _, store := range z.stores {
+		store.set(func() { store.register(name) })
+	}
+}
+
 // write publishes a version to the stores of all daemons.
 func (z *testZone) write(version core.Version) {
 	for _, store := range z.stores {
--- a/io/follow/revision.go
+++ b/io/follow/revision.go
@@ -14,7 +14,7 @@
 	for ctx.Err() == nil {
 		pause(ctx, revisionReadInterval*3/4+rand.N(revisionReadInterval/2))
 		watch, isWatching := f.currentWatch()
-		if !isWatching || ctx.Err() != nil {
+		if !isWatching || ctx.Err() != nil || f.hasFreshAnswer() {
 			continue
 		}
 		if f.cancelWatchForSource(f.config.Clock.Now()) {
@@ -66,6 +66,13 @@
 	return true
 }
 
+// hasFreshAnswer reports whether the watch answered so recently that a read would show nothing more.
+func (f *Follower) hasFreshAnswer() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config.Clock.Now().Sub(f.watchAnsweredAt) < revisionReadInterval
+}
+
 // recordContact records that the store has answered. A watch that was parked during an outage may
 // never answer, so it is canceled.
 func (f *Follower) recordContact() {
