proxy, admit: lost hosts are found by probes, silent upstreams by their gatekeeper

Cause: a request at a host that has lost its power is noticed only by the keepalive probes of its connection (3 s), unless more than eight answers are missing at this one entry. At 195 hosts an entry has one or two requests at each. The entry's own judgement beside that of the gatekeeper also made hung upstreams go unnoticed: a probe without finding reset it (TestUnresponsiveUpstream failed beside load).

Change: an entry probes a host that has answered nothing for 400 ms and 1.5 times the expected latency; two probes without an answer make it unresponsive. Whether an upstream is silent is decided by its gatekeeper alone, from the expected times of the requests that it runs. The tests of the entry's former judgement (TestSlowShortRequestIsTolerated, TestSimultaneousRequestsAreTolerated) hold with the same times for the gatekeeper's, in core/admit; TestLongRequestsBesideShortOnes and TestLostHostIsProbed are new.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -60,12 +60,14 @@
 	isFailed bool
 	state    ticketState
 	// epoch and suspicion are those of the ramp when the request got its slot.
-	epoch        uint64
-	suspicion    uint64
-	startedAt    time.Time
-	waitDeadline time.Time
-	routeLimits  []*requestLimit
-	tenantLimits []*requestLimit
+	epoch     uint64
+	suspicion uint64
+	startedAt time.Time
+	// answersPerSecond is the part of this request in Controller.answersPerSecond.
+	answersPerSecond float64
+	waitDeadline     time.Time
+	routeLimits      []*requestLimit
+	tenantLimits     []*requestLimit
 }
 
 type ticketState int
@@ -117,6 +119,8 @@
 	// answeredAt is the time of the latest answer, or of the first start after it if no request
 	// was running.
 	answeredAt time.Time
+	// answersPerSecond is how many answers a second to expect from the running requests.
+	answersPerSecond float64
 	// maxRank is the highest rank of the requests that the upstream may get.
 	maxRank int
 	wakes   []Wake
@@ -257,6 +261,7 @@
 	}
 	ticket.state = ticketDone
 	c.inFlight--
+	c.answersPerSecond -= ticket.answersPerSecond
 	if success && !ticket.isFailed {
 		c.serviceTimes.recordDuration(ticket.request.Route, now.Sub(ticket.startedAt))
 	}
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -148,6 +148,8 @@
 		c.recordAnswerAt(now)
 	}
 	c.inFlight++
+	ticket.answersPerSecond = c.expectedAnswers(ticket.request.Route)
+	c.answersPerSecond += ticket.answersPerSecond
 	if c.service.ColdRate > 0 {
 		c.starts.record(now, c.coldPerSecond())
 	}
--- a/core/admit/silence.go
+++ b/core/admit/silence.go
@@ -1,6 +1,10 @@
 package admit
 
-import "time"
+import (
+	"time"
+
+	"verbenaway/core"
+)
 
 const (
 	// maxMissingAnswers is the number of missing answers above which an upstream is silent. With
@@ -11,6 +15,10 @@
 	// minExpectedServiceTime is the shortest service time to expect, since short requests wait
 	// for the processor behind long ones.
 	minExpectedServiceTime = 150 * time.Millisecond
+	// silenceFactor is the multiple of the expected service time that a silence exceeds. Requests
+	// that were sent together are answered together, and one that makes calls of its own, or
+	// reaches a cold upstream, takes more than twice the expected time.
+	silenceFactor = 3
 )
 
 // recordAnswerAt records the time of an answer, or of a start while no other request was running:
@@ -19,6 +27,11 @@
 	c.answeredAt = now
 }
 
+// expectedAnswers returns how many answers a second to expect from a request of a route.
+func (c *Controller) expectedAnswers(route core.RouteName) float64 {
+	return 1 / max(c.serviceTimes.of(route), minExpectedServiceTime).Seconds()
+}
+
 // IsSilent reports whether too many answers of the upstream are missing. Unlike an entry, the
 // gatekeeper sees every request that the upstream has, so its judgement does not mistake a slow
 // upstream for one that has stopped.
@@ -27,7 +40,6 @@
 	if c.inFlight == 0 || silence < minSilence {
 		return false
 	}
-	expected := max(c.serviceTimes.overall, minExpectedServiceTime)
-	missing := float64(c.inFlight) * silence.Seconds() / expected.Seconds()
-	return missing > maxMissingAnswers
+	expected := float64(c.inFlight) / c.answersPerSecond
+	return silence.Seconds() > silenceFactor*expected && silence.Seconds()*c.answersPerSecond > maxMissingAnswers
 }
--- a/core/admit/silence_test.go
+++ b/core/admit/silence_test.go
@@ -66,3 +66,56 @@
 	}
 	c.Assert(rig.controller.IsSilent(rig.now.Add(100*time.Millisecond)), qt.IsFalse)
 }
+
+// TestSlowShortRequestIsTolerated guards against a healthy upstream that counts as silent because one
+// short request takes many times as long as usual.
+func TestSlowShortRequestIsTolerated(t *testing.T) {
+	rig := newLoadRig(0)
+	rig.finish(t, "check", 40*time.Millisecond)
+	qt.Assert(t, rig.offer("check").Kind, qt.Equals, core.ErrorKind(""))
+	qt.Assert(t, rig.controller.IsSilent(rig.now.Add(time.Second)), qt.IsFalse)
+	qt.Assert(t, rig.controller.IsSilent(rig.now.Add(2*time.Second)), qt.IsTrue)
+}
+
+// TestSimultaneousRequestsAreTolerated guards against retries of requests that a healthy upstream is
+// still running: four that were sent at the same time are answered at the same time, and a cold
+// upstream takes more than twice as long as usual.
+func TestSimultaneousRequestsAreTolerated(t *testing.T) {
+	rig := newLoadRig(0)
+	rig.finish(t, "lookup", 180*time.Millisecond)
+	for range 4 {
+		qt.Assert(t, rig.offer("lookup").Kind, qt.Equals, core.ErrorKind(""))
+	}
+	qt.Assert(t, rig.controller.IsSilent(rig.now.Add(500*time.Millisecond)), qt.IsFalse)
+	// One that has stopped is still detected in time for another attempt.
+	qt.Assert(t, rig.controller.IsSilent(rig.now.Add(600*time.Millisecond)), qt.IsTrue)
+}
+
+// TestLongRequestsBesideShortOnes guards against a healthy upstream that counts as silent because
+// most of its requests are short, while only long ones are running.
+func TestLongRequestsBesideShortOnes(t *testing.T) {
+	rig := newLoadRig(0)
+	rig.finish(t, "order", 640*time.Millisecond)
+	for range 50 {
+		rig.finish(t, "check", 40*time.Millisecond)
+	}
+	for range 4 {
+		qt.Assert(t, rig.offer("order").Kind, qt.Equals, core.ErrorKind(""))
+	}
+	qt.Assert(t, rig.controller.IsSilent(rig.now.Add(1500*time.Millisecond)), qt.IsFalse)
+}
+
+// finish runs a request of a route alone.
+func (r *loadRig) finish(t *testing.T, route core.RouteName, serviceTime time.Duration) {
+	t.Helper()
+	var ticket admit.Ticket
+	decision := r.controller.Offer(r.now, admit.Request{
+		Route:    route,
+		Service:  "s",
+		Deadline: r.now.Add(10 * time.Second),
+	}, &ticket)
+	qt.Assert(t, decision, qt.Equals, admit.Decision{})
+	r.now = r.now.Add(serviceTime)
+	r.controller.RecordSignal(r.now, &ticket, admit.SignalAnswered, "")
+	r.controller.Finish(r.now, &ticket, true)
+}
--- a/core/route/unresponsive.go
+++ b/core/route/unresponsive.go
@@ -14,10 +14,10 @@
 	// minExpectedLatency is the shortest latency to expect, since short requests wait for long
 	// ones.
 	minExpectedLatency = 150 * time.Millisecond
-	// unresponsiveFactor is the multiple of the expected latency after which a request may be sent
-	// to another host. Requests that were sent together are answered together, and one that makes
-	// calls of its own, or reaches a cold upstream, takes more than twice the expected latency.
-	unresponsiveFactor = 3
+	// suspectFactor is the multiple of the expected latency of a request after which its host is
+	// asked whether it is still there, if it has not answered any request meanwhile. A host that
+	// has lost its power is otherwise noticed only by the keepalive probes of its connections.
+	suspectFactor = 1.5
 	// unresponsiveCost is added for an unresponsive host and exceeds any cost of load.
 	unresponsiveCost = 5.0
 )
@@ -59,11 +59,11 @@
 	return missing > maxMissingAnswers
 }
 
-// IsUnresponsive reports whether the host of a choice is unresponsive, has not answered since the
-// given time, and has been silent for unresponsiveFactor times the expected latency of the choice.
-func (b *Balancer) IsUnresponsive(now, since time.Time, choice Choice) bool {
-	u := choice.upstream
-	return u.silentSince.Load() <= monotonicNanos(since) && u.isUnresponsive(now) && u.silence(now) > unresponsiveFactor*choice.expectedLatency
+// IsSuspect reports whether the host of a choice has answered nothing for suspectFactor times the
+// expected latency of the choice.
+func (b *Balancer) IsSuspect(now time.Time, choice Choice) bool {
+	silence := choice.upstream.silence(now)
+	return silence >= minSilence && silence.Seconds() > suspectFactor*choice.expectedLatency.Seconds()
 }
 
 // RecordActivity records that the host of a choice has shown that it is responsive.
--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -301,6 +301,22 @@
 	c.Assert(canceled.Load(), qt.Equals, int32(0))
 }
 
+// TestLostHostIsProbed guards against a single lookup that waits for a host without power until its
+// connection times out, while another host is healthy.
+func TestLostHostIsProbed(t *testing.T) {
+	c := qt.New(t)
+	rig := newMeshRig(t, nil, largeBudget, signedHandler, signedHandler)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	rig.view.members[0].Host.GateAddress = listener.Addr().String()
+	start := time.Now()
+	got := rig.send("GET", "/lookup/1", "")
+	c.Assert(got.status, qt.Equals, 200)
+	c.Assert(got.body, qt.Equals, "ran  by i1")
+	c.Assert(time.Since(start) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+}
+
 // TestAnswerBeginsOnce guards against a caller whose connection is closed without an answer because
 // its attempt is canceled while the answer begins: exactly one of the two may happen.
 func TestAnswerBeginsOnce(t *testing.T) {
--- a/io/proxy/entry_unresponsive.go
+++ b/io/proxy/entry_unresponsive.go
@@ -17,16 +17,30 @@
 	// probeTimeout bounds the probe of a host. It allows for a connection to another region and a
 	// busy daemon.
 	probeTimeout = 250 * time.Millisecond
+	// probeTries is the number of probes in a row without an answer after which a host is
+	// unresponsive. A lost packet delays one of them for longer than probeTimeout.
+	probeTries = 2
+)
+
+// probeResult is what a probe has shown of a host.
+type probeResult int
+
+const (
+	// probeNoAnswer means that the gatekeeper did not answer.
+	probeNoAnswer probeResult = iota
+	// probeSilent means that its upstream has stopped answering.
+	probeSilent
+	// probeResponsive means that its upstream answers.
+	probeResponsive
 )
 
 // unresponsiveWatch cancels an attempt on an unresponsive host. It is the only one to end an attempt
 // before its deadline, and it cannot once the answer has begun: either the answer or the
 // cancellation comes first.
 type unresponsiveWatch struct {
-	call    *call
-	choice  route.Choice
-	started time.Time
-	cancel  context.CancelFunc
+	call   *call
+	choice route.Choice
+	cancel context.CancelFunc
 	// canRetry means that the request may be sent to another host after the cancellation.
 	canRetry bool
 
@@ -47,7 +61,6 @@
 	w := &unresponsiveWatch{
 		call:     c,
 		choice:   c.choice,
-		started:  c.entry.config.Clock.Now(),
 		canRetry: c.idempotent && c.stream == nil && c.receivedAttempts+1 < c.route.Spec.MaxAttempts,
 	}
 	var ctx context.Context
@@ -58,16 +71,11 @@
 	return ctx, w
 }
 
-// check schedules the next check. If answers are missing and the gatekeeper confirms that its
-// upstream is silent, or does not answer itself, check instead puts the host into backoff and
-// cancels the attempt if the request may be retried.
+// check schedules the next check. If the host is unresponsive, it instead puts the host into backoff
+// and cancels the attempt if the request may be retried.
 func (w *unresponsiveWatch) check() {
 	entry := w.call.entry
-	isUnresponsive := entry.balancer.IsUnresponsive(entry.config.Clock.Now(), w.started, w.choice)
-	if isUnresponsive && entry.isResponsive(w.choice.Host) {
-		isUnresponsive = false
-		entry.balancer.RecordActivity(entry.config.Clock.Now(), w.choice)
-	}
+	isUnresponsive := w.isUnresponsive()
 	if !isUnresponsive {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -83,6 +91,23 @@
 	}
 }
 
+// isUnresponsive probes the host if its answer is overdue.
+func (w *unresponsiveWatch) isUnresponsive() bool {
+	entry := w.call.entry
+	if !entry.balancer.IsSuspect(entry.config.Clock.Now(), w.choice) {
+		return false
+	}
+	result := probeNoAnswer
+	for try := 0; try < probeTries && result == probeNoAnswer; try++ {
+		result = entry.probe(w.choice.Host)
+	}
+	if result != probeResponsive {
+		return true
+	}
+	entry.balancer.RecordActivity(entry.config.Clock.Now(), w.choice)
+	return false
+}
+
 // cancelAttempt cancels the attempt unless its answer has begun.
 func (w *unresponsiveWatch) cancelAttempt() {
 	w.mu.Lock()
@@ -130,10 +155,10 @@
 	return w.isCanceled
 }
 
-// isResponsive asks the gatekeeper on a host whether its upstream is responsive. Attempts on the same
-// host share a probe.
-func (e *Entry) isResponsive(host core.Host) bool {
-	answer, _, _ := e.probes.Do(string(host.Name), func() (any, error) {
+// probe asks the gatekeeper on a host whether its upstream is responsive. Attempts on the same host
+// share a probe.
+func (e *Entry) probe(host core.Host) probeResult {
+	result, _, _ := e.probes.Do(string(host.Name), func() (any, error) {
 		e.Counters.Probes.Add(1)
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
@@ -150,14 +175,17 @@
 		}).WithContext(ctx)
 		response, err := e.transport.RoundTrip(request)
 		if err != nil {
-			return false, nil
+			return probeNoAnswer, nil
 		}
 		defer func() {
 			_ = response.Body.Close()
 		}()
-		return response.StatusCode != http.StatusServiceUnavailable, nil
+		if response.StatusCode == http.StatusServiceUnavailable {
+			return probeSilent, nil
+		}
+		return probeResponsive, nil
 	})
-	return answer.(bool)
+	return result.(probeResult)
 }
 
 var probeValue = []string{"true"}
