proxy, store, relay, peer: answers without end are bounded

Cause: the transports to the upstream, the store and other daemons accepted a head of 10 MB, the default of net/http: 14 MB went into one connection of an upstream that sends a head without end, and some tens of such connections end the process by its memory limit.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -19,6 +19,8 @@
 	// minCompressBytes keeps small messages, such as digests, uncompressed: the bytes saved
 	// would not justify the processor time of gzip.
 	minCompressBytes = 1 << 10
+	// maxHeaderBytes bounds the head of an answer.
+	maxHeaderBytes = 64 << 10
 	// idleConnTimeout keeps the connections to probe partners, which are used every 3 s, and
 	// closes those to random members.
 	idleConnTimeout = 15 * time.Second
@@ -64,9 +66,10 @@
 		config: config,
 		http: &http.Client{
 			Transport: &http.Transport{
-				DialContext:     dial,
-				Protocols:       protocols,
-				IdleConnTimeout: idleConnTimeout,
+				DialContext:            dial,
+				Protocols:              protocols,
+				IdleConnTimeout:        idleConnTimeout,
+				MaxResponseHeaderBytes: maxHeaderBytes,
 			},
 		},
 		peers: map[string]wire.PeerClient{},
--- a/io/proxy/gate_transport.go
+++ b/io/proxy/gate_transport.go
@@ -77,7 +77,8 @@
 		MaxConnsPerHost:     limit,
 		IdleConnTimeout:     t.config.IdleTimeout,
 		// An upstream that does not support Expect gets the body after this time.
-		ExpectContinueTimeout: time.Second,
+		ExpectContinueTimeout:  time.Second,
+		MaxResponseHeaderBytes: maxServerHeaderBytes,
 	}
 	t.current.Store(&limitedTransport{
 		transport: transport,
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -16,6 +16,8 @@
 const (
 	// maxMessageBytes is enough for the largest configuration and thousands of upstream records.
 	maxMessageBytes = 8 << 20
+	// maxHeaderBytes bounds the head of an answer.
+	maxHeaderBytes = 64 << 10
 	// idleConnTimeout keeps the connections to the daemons that this one follows, which are in
 	// constant use.
 	idleConnTimeout = 15 * time.Second
@@ -41,8 +43,9 @@
 	return &Client{
 		http: &http.Client{
 			Transport: &http.Transport{
-				DialContext:     config.Dial,
-				IdleConnTimeout: idleConnTimeout,
+				DialContext:            config.Dial,
+				IdleConnTimeout:        idleConnTimeout,
+				MaxResponseHeaderBytes: maxHeaderBytes,
 			},
 		},
 		clients: map[string]wire.RelayClient{},
--- a/io/store/fetcher.go
+++ b/io/store/fetcher.go
@@ -13,6 +13,9 @@
 	"verbenaway/core"
 )
 
+// maxHeaderBytes bounds the head of an answer, which may otherwise grow until the memory ends.
+const maxHeaderBytes = 64 << 10
+
 // Fetcher reads from a store over HTTP and maps failures to error kinds. It is safe for
 // concurrent use.
 type Fetcher struct {
@@ -34,9 +37,10 @@
 	}
 	client := &http.Client{
 		Transport: &http.Transport{
-			DialContext:         config.Dial,
-			MaxIdleConnsPerHost: 4,
-			IdleConnTimeout:     90 * time.Second,
+			DialContext:            config.Dial,
+			MaxIdleConnsPerHost:    4,
+			IdleConnTimeout:        90 * time.Second,
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 	}
 	return Fetcher{
