follow, proxy: a panic ends no process and keeps no lock

Cause: a value of the store or of a relay whose decoding panics ended the process, which would start again and read it again. A panic in admission control left the mutex of the gatekeeper taken, so that all later requests would hang.

Change: such a value counts as one that cannot be decoded, with the stack in its event; the mutex is released by defer.

Measured: TestMalformedItem (ends the test process without the change).

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -357,11 +359,30 @@
 func (f *Follower) decode(answer core.RegistryAnswer) []core.RegistryChange {
 	changes := make([]core.RegistryChange, len(answer.Items))
 	for i, item := range answer.Items {
-		changes[i] = f.config.Registry.Decode(item)
+		changes[i] = f.decodeItem(item)
 	}
 	return changes
 }
 
+// decodeItem decodes an item. A panic means that the item cannot be decoded; it must not end the
+// process, which would start again and read the same item.
+func (f *Follower) decodeItem(item core.RegistryItem) (change core.RegistryChange) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			change = core.RegistryChange{
+				RegistryItem: item,
+			}
+			f.record(follow.Event{
+				Kind:     core.EventValueRefused,
+				Subject:  item.Key,
+				Revision: item.Revision,
+				Detail:   fmt.Sprintf("panic: %v at %s", cause, debug.Stack()),
+			})
+		}
+	}()
+	return f.config.Registry.Decode(item)
+}
+
 // watchGap returns the minimum time between two watches. All daemons, one beside each upstream,
 // see each change at the same time; without the gap they would exceed the store's read rate.
 func (f *Follower) watchGap() time.Duration {
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -52,6 +52,8 @@
 	}
 	switch {
 	case item.IsDelete:
+	case item.Key == "malformed":
+		panic("malformed")
 	case item.Key == "config":
 		change.Config = &core.Snapshot{
 			Version: core.Version(item.Value[0]),
@@ -291,6 +293,24 @@
 	}
 }
 
+// TestMalformedItem guards against a single item whose decoding panics and which ends the process, or
+// keeps others from being applied.
+func TestMalformedItem(t *testing.T) {
+	registry := newFakeRegistry()
+	registry.write(1)
+	f := startFollower(t, registry)
+	waitVersion(t, f, 1, applyDeadline)
+	registry.set(func() {
+		registry.revision++
+		registry.items = append(registry.items, core.RegistryItem{
+			Key:      "malformed",
+			Revision: registry.revision,
+		})
+	})
+	registry.write(2)
+	waitVersion(t, f, 2, applyDeadline)
+}
+
 // TestFollowerBurst guards against a store call for each change of a burst, and against a last
 // change that is missed.
 func TestFollowerBurst(t *testing.T) {
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -137,13 +137,29 @@
 
 // admit requests a slot and waits for it if necessary.
 func (c *gateCall) admit() (core.ErrorKind, string) {
+	decision := c.offer()
+	if decision.Wait {
+		return c.awaitSlot(decision.WaitDeadline)
+	}
+	if decision.Kind == "" {
+		c.gate.counters.Admitted.Add(1)
+	}
+	return decision.Kind, decision.Detail
+}
+
+// offer asks admission control for a slot. The mutex is released even by a panic, since other
+// requests go on after it.
+func (c *gateCall) offer() admit.Decision {
 	g := c.gate
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	now := g.config.Clock.Now()
 	g.configure(now, c.snapshot)
 	if now.Before(g.connectBackoffUntil) {
-		g.mu.Unlock()
-		return core.NoUpstream, "the upstream did not take a connection just now"
+		return admit.Decision{
+			Kind:   core.NoUpstream,
+			Detail: "the upstream did not take a connection just now",
+		}
 	}
 	decision := g.admission.Offer(now, c.admitRequest, &c.ticket)
 	if decision.Wait {
@@ -153,14 +169,7 @@
 	c.inFlight, c.limit = g.load(now)
 	c.retryAfter = decision.RetryAfter
 	g.scheduleGrant(now)
-	g.mu.Unlock()
-	if decision.Wait {
-		return c.awaitSlot(decision.WaitDeadline)
-	}
-	if decision.Kind == "" {
-		g.counters.Admitted.Add(1)
-	}
-	return decision.Kind, decision.Detail
+	return decision
 }
 
 func (c *gateCall) awaitSlot(waitDeadline time.Time) (core.ErrorKind, string) {
