route: a short queue at home goes before a paid link

A single request that waits at an upstream of few slots made another region cheaper: with 6 slots, it adds a quarter to the cost, while the wait is a sixth of a service time.

Change: queueCost 0.75 (1.5), otherRegionCost 0.5 (0.3). The case 'short queues at home' of TestChooseByCost fails without it.

--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -20,10 +20,10 @@
 	// are: many upstreams slow down before they are full. queueCost is multiplied by the ratio of
 	// waiting requests to slots.
 	utilizationCost = 0.3
-	queueCost       = 1.5
+	queueCost       = 0.75
 	// otherZoneCost and otherRegionCost stand for the longer network path and the paid link.
 	otherZoneCost   = 0.1
-	otherRegionCost = 0.3
+	otherRegionCost = 0.5
 	// otherZoneBytes and otherRegionBytes are the request sizes whose transfer costs as much as
 	// a whole latency target.
 	otherZoneBytes   = 240 << 10
--- a/core/route/cost_test.go
+++ b/core/route/cost_test.go
@@ -140,6 +140,14 @@
 			known: map[core.HostName]route.LoadReport{"a1": {InFlight: 20, Limit: 18, ServiceTime: usual}},
 			want:  "a2",
 		},
+		{
+			name: "short queues at home are no reason for a paid link",
+			known: map[core.HostName]route.LoadReport{
+				"a1": {InFlight: 20, Limit: 18, ServiceTime: usual},
+				"a2": {InFlight: 27, Limit: 18, ServiceTime: usual},
+			},
+			want: "a1",
+		},
 		{
 			name: "full region",
 			known: map[core.HostName]route.LoadReport{
