--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -276,123 +274,6 @@
 	}
 }
 
-// probeStore makes the cheapest call to a store that is down, because all daemons make it during
-// an outage and the platform charges each call.
-func (f *Follower) probeStore(ctx context.Context) error {
-	f.mu.Lock()
-	isStoreDown := f.isStoreDown
-	f.mu.Unlock()
-	if !isStoreDown {
-		return nil
-	}
-	f.Counters.RevisionReads.Add(1)
-	_, err := f.config.Registry.Revision(ctx, true)
-	return err
-}
-
-// listAll reads the whole content. The first listing may be stale, as the next call continues from
-// its revision; this costs less.
-func (f *Follower) listAll(ctx context.Context) error {
-	f.mu.Lock()
-	isFirst := f.state.Revision() == 0
-	f.mu.Unlock()
-	return f.list(ctx, isFirst)
-}
-
-func (f *Follower) list(ctx context.Context, mayBeStale bool) error {
-	f.Counters.Lists.Add(1)
-	listing, err := f.config.Registry.List(ctx, mayBeStale)
-	if err != nil {
-		return err
-	}
-	f.applyListing(listing, mayBeStale)
-	return nil
-}
-
-// watch asks the store for the next changes. It waits only briefly for them while the content has
-// to be confirmed.
-func (f *Follower) watch(ctx context.Context) error {
-	f.mu.Lock()
-	gap := f.watchGap() - f.config.Clock.Now().Sub(f.watchAnsweredAt)
-	f.mu.Unlock()
-	pause(ctx, gap)
-	watchCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f.mu.Lock()
-	f.cancelWatch = cancel
-	f.watchNumber++
-	after := f.state.Revision()
-	wait := f.config.WatchWait
-	if f.isStale {
-		wait = confirmWatchWait
-	}
-	f.mu.Unlock()
-	f.Counters.Watches.Add(1)
-	answer, err := f.config.Registry.Watch(watchCtx, after, wait)
-	f.mu.Lock()
-	f.cancelWatch = nil
-	f.mu.Unlock()
-	if err != nil {
-		return err
-	}
-	changes := f.decode(answer)
-	f.update(0, func(now time.Time) {
-		f.isStale = false
-		f.watchAnsweredAt = now
-		f.state.ApplyWatch(now, changes, answer.Revision)
-	})
-	return nil
-}
-
-// applyListing applies the whole content. The daemon becomes ready only once the content is
-// confirmed.
-func (f *Follower) applyListing(listing core.RegistryAnswer, isStale bool) {
-	changes := f.decode(listing)
-	f.mu.Lock()
-	f.isStale = isStale
-	f.mu.Unlock()
-	f.update(0, func(now time.Time) {
-		f.state.ApplyListing(now, changes, listing.Revision)
-	})
-}
-
-func (f *Follower) decode(answer core.RegistryAnswer) []core.RegistryChange {
-	changes := make([]core.RegistryChange, len(answer.Items))
-	for i, item := range answer.Items {
-		changes[i] = f.decodeItem(item)
-	}
-	return changes
-}
-
-// decodeItem decodes an item. A panic means that the item cannot be decoded; it must not end the
-// process, which would start again and read the same item.
-func (f *Follower) decodeItem(item core.RegistryItem) (change core.RegistryChange) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			change = core.RegistryChange{
-				RegistryItem: item,
-			}
-			f.record(follow.Event{
-				Kind:     core.EventValueRefused,
-				Subject:  item.Key,
-				Revision: item.Revision,
-				Detail:   fmt.Sprintf("panic: %v at %s", cause, debug.Stack()),
-			})
-		}
-	}()
-	return f.config.Registry.Decode(item)
-}
-
-// watchGap returns the minimum time between two watches. All daemons, one beside each upstream,
-// see each change at the same time; without the gap they would exceed the store's read rate.
-func (f *Follower) watchGap() time.Duration {
-	if f.config.ReadsPerSecond <= 0 {
-		return minWatchGap
-	}
-	seconds := float64(f.UpstreamCount()) / (watchRateShare * f.config.ReadsPerSecond)
-	return max(minWatchGap, time.Duration(seconds*float64(time.Second)))
-}
-
 // update applies an answer and publishes the view; age is the time since the contact with the
 // store that the answer reflects.
 func (f *Follower) update(age time.Duration, apply func(now time.Time)) {
