--- a/io/proxy/endless_test.go
+++ b/io/proxy/endless_test.go
@@ -21,8 +21,7 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		begin := strings.ReplaceAll(begin, "ID", r.Header.Get("X-Id"))
-		written, err := io.WriteString(conn, begin)
+		written, err := io.WriteString(conn, strings.ReplaceAll(begin, "ID", r.Header.Get("X-Id")))
 		for err == nil {
 			var n int
 			n, err = io.WriteString(conn, piece)
