--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,4 @@
 	go test ./core/note -run '^$$' -fuzz '^FuzzParseCheckpoint$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	go test ./core/snap -run '^$$' -fuzz '^FuzzFold$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	go test ./core/snap -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	go test ./platform -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
