proxy: a canceled request is never answered as a wrong one

Callers saw: proper requests answered with 499, a status that says that the request was wrong, on connections on which they waited for the answer.

Cause: the kind canceled had status 499, and the entry sent it like every other status. The context of a request ends with that of its connection, which net/http ends after any failed read, also when the caller is still there. The entry kept such a connection, so that all later requests on it were answered 499 as well, at once. A gatekeeper's canceled was passed on to a caller that waited, and a body that could not be read from the connection was canceled or 400.

Change: canceled is 502, which promises nothing. canceledBeforeRun is new, 503 with Retry-After, for requests that no upstream has got: the connection ended before the first attempt, in a gatekeeper's queue, or while the body was read. giveUp and the gatekeeper replace it as every other kind with "not run" once an attempt may have run. Both close the connection. A gatekeeper's canceled while the caller waits is a lost answer; its canceledBeforeRun leads to another upstream. Both are logged as cut, as canceled was. A departed caller's request with an idempotency key is neither delegated nor is its kind given to duplicates, as before.

TestEntryRefusals took canceled for final; it now demands that a lookup is run by the other upstream, and an order still by none. TestUpstreamCancel compares with the 499 of the stand-in itself, since core no longer has that constant.

--- a/core/kind.go
+++ b/core/kind.go
@@ -30,6 +30,7 @@
 	DeadlineInRun     ErrorKind = "deadlineInRun"
 	OutcomeUnknown    ErrorKind = "outcomeUnknown"
 	UpstreamFailed    ErrorKind = "upstreamFailed"
+	CanceledBeforeRun ErrorKind = "canceledBeforeRun"
 	Canceled          ErrorKind = "canceled"
 	Internal          ErrorKind = "internal"
 
@@ -76,9 +77,6 @@
 	Action string
 }
 
-// StatusCanceled is the status that is logged when a caller cancels; it is never sent.
-const StatusCanceled = 499
-
 // ErrorKinds lists all error kinds.
 var ErrorKinds = []ErrorKindInfo{
 	{Kind: BadRequest, Status: http.StatusBadRequest, NotRun: true, Meaning: "The request is malformed.", Action: "Correct the request."},
@@ -99,7 +97,8 @@
 	{Kind: DeadlineInRun, Status: http.StatusGatewayTimeout, Meaning: "The deadline passed while an upstream was running the request.", Action: "Look up the outcome before sending it again."},
 	{Kind: OutcomeUnknown, Status: http.StatusBadGateway, Meaning: "The request may or may not have run.", Action: "Look up the outcome before sending it again."},
 	{Kind: UpstreamFailed, Status: http.StatusBadGateway, Meaning: "An idempotent request failed at each upstream that was tried.", Action: "Send it again."},
-	{Kind: Canceled, Status: StatusCanceled, Meaning: "The caller canceled the request.", Action: "None."},
+	{Kind: CanceledBeforeRun, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "The connection of the caller ended before an upstream ran the request.", Action: "Send it again."},
+	{Kind: Canceled, Status: http.StatusBadGateway, Meaning: "The connection of the caller ended; the request may or may not have run.", Action: "Look up the outcome before sending it again."},
 	{Kind: Internal, Status: http.StatusInternalServerError, Meaning: "An internal error of verbenaway.", Action: "Report it with the log line."},
 
 	{Kind: NoteSyntax, Meaning: "The note is not valid TOML.", Action: "Run verbenactl check on the file."},
--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -118,14 +118,15 @@
 
 // refusal returns the result that the headers of a refusal report, or false for an answer of the
 // upstream. A kind that says "not run" against the outcome, or that only a newer release knows, is
-// replaced by that of a lost answer.
+// replaced by that of a lost answer; so is Canceled while the caller waits.
 func (c *call) refusal(header http.Header, detail func() string) (result, bool) {
 	kind := core.ErrorKind(firstValue(header, keyError))
 	if kind == "" {
 		return result{}, false
 	}
 	notRun := firstValue(header, keyOutcome) == OutcomeNotRun
-	if !notRun && kind.Info().NotRun || kind.Info().Kind != kind {
+	isCallerWaiting := c.ctx.Err() == nil
+	if !notRun && kind.Info().NotRun || kind.Info().Kind != kind || kind == core.Canceled && isCallerWaiting {
 		kind = c.lostAnswer("").failure.Kind
 	}
 	r := failedAttempt(kind, notRun, detail())
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -228,6 +228,9 @@
 	if left < time.Millisecond {
 		return failedAttempt(core.DeadlineBeforeRun, true, "no time is left")
 	}
+	if c.ctx.Err() != nil {
+		return c.interrupted(false)
+	}
 	if r, ok := c.choose(); !ok {
 		return r
 	}
@@ -363,7 +366,9 @@
 	return c.deadline.Sub(c.entry.config.Clock.Now())
 }
 
-// interrupted returns the result of an attempt that was ended by the deadline or the caller.
+// interrupted returns the result of an attempt that was ended by the deadline or with the caller's
+// connection. The caller may still wait for the answer: the server also ends the context after a
+// failed read.
 func (c *call) interrupted(sent bool) result {
 	// The server also cancels the caller's context when the read of a body exceeds the deadline.
 	if errors.Is(c.ctx.Err(), context.DeadlineExceeded) || c.timeLeft() <= 0 {
@@ -372,7 +377,10 @@
 		}
 		return failedAttempt(core.DeadlineBeforeRun, true, "the deadline passed before the request was sent")
 	}
-	return failedAttempt(core.Canceled, false, "the caller went away")
+	if sent {
+		return failedAttempt(core.Canceled, false, "the caller's connection ended after the request was sent")
+	}
+	return failedAttempt(core.CanceledBeforeRun, true, "the caller's connection ended before the request was sent")
 }
 
 // lostAnswer returns the result of an attempt that was sent but got no valid answer.
@@ -401,7 +409,9 @@
 	if c.stream != nil {
 		c.stream.stopAndWait(c.reply.control)
 	}
-	if c.closesConnection() {
+	// The context of a canceled request is that of its connection, so that later requests on it
+	// would be canceled too.
+	if c.closesConnection() || isCanceled(kind) {
 		c.reply.closeConnection()
 	}
 	if c.stream == nil && c.buffer == nil && c.request.ContentLength != 0 {
@@ -423,6 +433,10 @@
 	}
 }
 
+func isCanceled(kind core.ErrorKind) bool {
+	return kind == core.Canceled || kind == core.CanceledBeforeRun
+}
+
 // closesConnection reports whether the caller's connection is closed after this answer.
 func (c *call) closesConnection() bool {
 	return c.entry.isLeaving() || c.stream != nil && !c.stream.isComplete()
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -254,12 +254,10 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.reply.closeConnection()
 		return core.DeadlineBeforeRun, "the caller did not send the whole body in time"
-	case c.request.Context().Err() != nil || errors.Is(err, io.ErrUnexpectedEOF):
-		c.reply.closeConnection()
-		return core.Canceled, "the caller went away while sending the body"
 	}
+	// The body has a declared length, so that only the connection can have failed.
 	c.reply.closeConnection()
-	return core.BadRequest, "the body cannot be read: " + err.Error()
+	return core.CanceledBeforeRun, "the body cannot be read: " + err.Error()
 }
 
 // recordSentBytes counts streamed bytes to another region and charges the cross-region budget.
--- a/io/proxy/entry_decide.go
+++ b/io/proxy/entry_decide.go
@@ -20,7 +20,7 @@
 	}
 	decisionKind := core.DecisionAnswered
 	switch {
-	case kind == core.Canceled:
+	case isCanceled(kind):
 		decisionKind = core.DecisionCut
 	case kind != "" && kind.Info().NotRun:
 		decisionKind = core.DecisionRefused
--- a/io/proxy/entry_fault_test.go
+++ b/io/proxy/entry_fault_test.go
@@ -116,7 +116,7 @@
 				a := rig.do(rig.request("POST", route, "x"))
 				info := tc.kind.Info()
 				notRun := tc.outcome == OutcomeNotRun
-				isLostAnswer := tc.kind == core.OutcomeUnknown || tc.kind == core.UpstreamFailed || !notRun && info.NotRun || info.Kind != tc.kind && !notRun
+				isLostAnswer := tc.kind == core.OutcomeUnknown || tc.kind == core.UpstreamFailed || tc.kind == core.Canceled || !notRun && info.NotRun || info.Kind != tc.kind && !notRun
 				if notRun && info.Retry || route == "/lookup" && isLostAnswer {
 					c.Check(a.body, qt.Equals, "ran x")
 					return
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -187,7 +187,7 @@
 			kind, detail = core.DeadlineBeforeRun, "the deadline passed in the queue"
 		}
 	case <-c.request.Context().Done():
-		kind, detail = core.Canceled, "the caller went away in the queue"
+		kind, detail = core.CanceledBeforeRun, "the caller went away in the queue"
 	}
 	g.mu.Lock()
 	isWithdrawn := g.admission.Abandon(&c.ticket)
@@ -314,6 +314,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	c.setOwnHeaders(c.writer.Header())
+	if isCanceled(kind) {
+		// Later requests on the connection would be canceled too.
+		c.writer.Header()["Connection"] = []string{"close"}
+	}
 	if c.reachedUpstream {
 		c.writer.Header()[keyArrived] = arrivedValue
 	}
--- a/io/proxy/gate_delegate.go
+++ b/io/proxy/gate_delegate.go
@@ -16,7 +16,7 @@
 func (c *gateCall) canDelegate(kind core.ErrorKind) bool {
 	info := kind.Info()
 	return kind != "" && c.gate.delegate != nil && c.outcome == gateNotRun && c.body == nil &&
-		info.NotRun && info.Retry && kind != core.SuspectView && kind != core.Starting
+		info.NotRun && info.Retry && !isCanceled(kind) && kind != core.SuspectView && kind != core.Starting
 }
 
 // delegate lets another upstream run the request. The key stays claimed here meanwhile, so that
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -199,8 +199,10 @@
 		return core.DeadlineInRun, "the deadline passed while the upstream ran the request"
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return core.DeadlineBeforeRun, "the deadline passed while connecting to the upstream"
+	case ctx.Err() != nil && isSent:
+		return core.Canceled, "the caller went away while the upstream ran the request"
 	case ctx.Err() != nil:
-		return core.Canceled, "the caller went away"
+		return core.CanceledBeforeRun, "the caller went away before the request was sent"
 	case !trace.isConnected():
 		c.report(admit.SignalRefused, "")
 		return core.NoUpstream, "no connection to the upstream: " + err.Error()
--- a/io/proxy/gate_keys.go
+++ b/io/proxy/gate_keys.go
@@ -101,7 +101,7 @@
 	var resolution dedup.Resolution
 	switch c.outcome {
 	case gateNotRun:
-		if !kind.Info().NotRun {
+		if !kind.Info().NotRun || isCanceled(kind) {
 			kind, detail = core.Overloaded, "the request with this idempotency key was withdrawn"
 		}
 		resolution = g.keys.table.Release(c.key, kind, detail)
--- a/io/stand/upstream.go
+++ b/io/stand/upstream.go
@@ -23,7 +23,7 @@
 
 const (
 	maxServiceTime = time.Minute
-	statusCanceled = core.StatusCanceled
+	statusCanceled = 499
 )
 
 // UpstreamConfig configures an upstream stand-in.
--- a/io/stand/upstream_test.go
+++ b/io/stand/upstream_test.go
@@ -226,7 +226,7 @@
 	c.Check(<-ended, qt.ErrorIs, context.Canceled)
 	waitUntil(func() bool { return upstream.Runs(false).InFlight == 0 })
 	got := call(client, "GET", server.URL(), "", proxy.HeaderTimeout, "1")
-	c.Check(got.status, qt.Equals, core.StatusCanceled)
+	c.Check(got.status, qt.Equals, 499)
 	c.Check(upstream.Runs(false).Requests, qt.Equals, int64(2))
 	c.Check(upstream.Runs(false).Canceled, qt.Equals, int64(2))
 }
