proxy: the end of an upload no longer cancels later requests

Cause: the reading of an upload is ended by a read deadline in the past once its answer is there. If the body had ended just then, net/http was already watching the connection for a disconnect, took the deadline for one and ended the context of the connection. As the body counted as complete, the connection was kept. http.Transport reads once more after the last byte of a body, and such a read set the deadline too. The same happened on the connection between entry and gatekeeper, and, with the gatekeeper in the same process, to bodies that are buffered, whose reading needs no deadline at all.

Change: no deadline is set after the end of a body or for a buffered one, and a connection on which one was set is closed after the answer.

--- a/io/proxy/buffers.go
+++ b/io/proxy/buffers.go
@@ -111,7 +111,10 @@
 	// started means that an attempt has read a byte.
 	started bool
 	isAtEnd bool
-	err     error
+	// isInterrupted means that a read was ended by a deadline. The server may have met that deadline
+	// after the end of the body, where it takes it for a disconnected caller.
+	isInterrupted bool
+	err           error
 }
 
 // newReader starts an attempt and returns its reader.
@@ -141,17 +144,27 @@
 func (s *streamBody) stopAndWait(control *http.ResponseController) {
 	s.endAttempt()
 	if !s.readMu.TryLock() {
-		_ = control.SetReadDeadline(time.Unix(1, 0))
+		s.interrupt(control)
 		s.readMu.Lock()
 	}
 	s.readMu.Unlock()
 }
 
-// isComplete reports whether the whole body was read.
+// interrupt ends a read that may wait for the caller. At the end of the body no read does.
+func (s *streamBody) interrupt(control *http.ResponseController) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isAtEnd {
+		s.isInterrupted = true
+		_ = control.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// isComplete reports whether the whole body was read, so that the connection can be kept.
 func (s *streamBody) isComplete() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.isAtEnd && len(s.leftover) == 0
+	return s.isAtEnd && !s.isInterrupted && len(s.leftover) == 0
 }
 
 // readError returns the error that ended the body early, nil if there was none.
--- a/io/proxy/entry_local.go
+++ b/io/proxy/entry_local.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 )
 
 // sendLocal calls the gatekeeper on the local host within the process.
@@ -131,6 +132,15 @@
 	_ = w.FlushError()
 }
 
+// SetReadDeadline ends a read of a streamed body; the gatekeeper sets only deadlines in the past. A
+// buffered body needs none: on the caller's connection it would look like a disconnected caller.
+func (w *localWriter) SetReadDeadline(time.Time) error {
+	if stream := w.call.stream; stream != nil {
+		stream.interrupt(w.call.reply.control)
+	}
+	return nil
+}
+
 // Unwrap lets http.ResponseController set deadlines on the connection of the caller.
 func (w *localWriter) Unwrap() http.ResponseWriter {
 	return w.call.reply.w
--- a/io/proxy/gate_body.go
+++ b/io/proxy/gate_body.go
@@ -23,6 +23,9 @@
 	reading   bool
 	// stopped makes further reads fail.
 	stopped bool
+	// isInterrupted means that a read was ended by a deadline. The server may have met that deadline
+	// after the end of the body, where it takes it for a disconnected caller.
+	isInterrupted bool
 	// firstErr is the first read error; io.EOF once the whole body was read.
 	firstErr error
 }
@@ -68,11 +71,11 @@
 	return b.firstErr != nil && !errors.Is(b.firstErr, io.EOF)
 }
 
-// isAtEnd reports whether the whole body was read.
+// isAtEnd reports whether the whole body was read, so that the connection can be kept.
 func (b *gateBody) isAtEnd() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return errors.Is(b.firstErr, io.EOF)
+	return errors.Is(b.firstErr, io.EOF) && !b.isInterrupted
 }
 
 // interrupt ends a read that waits for data from the caller, whose connection cannot be reused
@@ -89,7 +92,8 @@
 // The caller holds mu.
 func (b *gateBody) stop() {
 	b.stopped = true
-	if b.reading {
+	if b.reading && !errors.Is(b.firstErr, io.EOF) {
+		b.isInterrupted = true
 		_ = b.controller.SetReadDeadline(time.Unix(1, 0))
 	}
 }
