follow, platform: the store's epoch in logs and metrics

Cause of this commit: neither logs nor metrics tell whether daemons do not learn of the change, or learn of it and take it for an old one. The store numbers its restorations in a header of all answers, which was not read.

Change: a position in the store is an epoch and a revision. Nothing else behaves differently.

--- a/core/event.go
+++ b/core/event.go
@@ -48,6 +48,7 @@
 	EventViewConfirmed  EventKind = "viewConfirmed"
 	EventStoreFailed    EventKind = "storeFailed"
 	EventStoreRecovered EventKind = "storeRecovered"
+	EventStoreRestored  EventKind = "storeRestored"
 	EventValueRefused   EventKind = "valueRefused"
 	EventSettingsRead   EventKind = "settingsRead"
 	EventServerFailed   EventKind = "serverFailed"
@@ -80,6 +81,7 @@
 	{Kind: EventViewConfirmed, Meaning: "The view of the configuration was confirmed after a pause."},
 	{Kind: EventStoreFailed, Meaning: "The store stopped answering this reader."},
 	{Kind: EventStoreRecovered, Meaning: "The store answers this reader again."},
+	{Kind: EventStoreRestored, Meaning: "The store was restored from a copy and may have lost its newest changes."},
 	{Kind: EventValueRefused, Meaning: "A value of the store cannot be decoded and is not used."},
 	{Kind: EventSettingsRead, Meaning: "The settings file was read again."},
 	{Kind: EventServerFailed, Meaning: "The daemon no longer accepts connections on one of its addresses."},
--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -59,7 +60,10 @@
 	view              View
 	// snapshotRevision counts the snapshots that were built.
 	snapshotRevision uint64
-	events           []Event
+	// olderChanges counts the changes that were not applied because of their revision, although
+	// they differ from what is known.
+	olderChanges int64
+	events       []Event
 }
 
 // New returns an empty state.
@@ -85,6 +89,12 @@
 	return s.view
 }
 
+// OlderChanges returns the number of changes that were not applied because of their revision, although
+// they differ from what is known. It increases with late and stale answers.
+func (s *State) OlderChanges() int64 {
+	return s.olderChanges
+}
+
 // TakeEvents returns the changes of the view since the last call.
 func (s *State) TakeEvents() []Event {
 	events := s.events
@@ -189,6 +199,9 @@
 func (s *State) apply(now time.Time, change core.RegistryChange) {
 	known := s.entries[change.Key]
 	if known != nil && change.Revision <= known.Revision {
+		if change.IsDelete != known.IsDelete || !bytes.Equal(change.Value, known.Value) {
+			s.olderChanges++
+		}
 		return
 	}
 	next := &entry{
--- a/core/registry.go
+++ b/core/registry.go
@@ -14,26 +14,45 @@
 	// answer may be seconds old, which costs the store less.
 	List(ctx context.Context, mayBeStale bool) (RegistryAnswer, error)
 	// Watch returns the changes after a revision in the order of their revisions, or none
-	// after the wait.
+	// after the wait. The revision is one of the current epoch of the store, whatever epoch the
+	// caller has seen.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (RegistryAnswer, error)
-	// Revision returns the revision of the store. With mayBeStale it may be seconds old, which
+	// Position returns the position of the store. With mayBeStale it may be seconds old, which
 	// costs the store less. Both cost less than List.
-	Revision(ctx context.Context, mayBeStale bool) (uint64, error)
+	Position(ctx context.Context, mayBeStale bool) (StorePosition, error)
 	// Decode decodes an item. The result for an invalid item has only the item itself.
 	Decode(item RegistryItem) RegistryChange
 }
 
+// StorePosition is a position in the history of the store.
+type StorePosition struct {
+	// Epoch increases each time the store is restored from a copy, which loses the newest
+	// changes. It is 0 if the store does not report it.
+	Epoch uint64
+	// Revision increases with each change of an epoch. Revisions of different epochs cannot be
+	// compared: a restored store gives out again those that it has lost.
+	Revision uint64
+}
+
+// IsAfter reports whether p is newer than other.
+func (p StorePosition) IsAfter(other StorePosition) bool {
+	if p.Epoch != other.Epoch {
+		return p.Epoch > other.Epoch
+	}
+	return p.Revision > other.Revision
+}
+
 // RegistryAnswer is the content of the store, or what changed in it.
 type RegistryAnswer struct {
+	// StorePosition is the position up to which the answer is complete.
+	StorePosition
 	Items []RegistryItem
-	// Revision is the revision up to which the answer is complete.
-	Revision uint64
 }
 
 // RegistryItem is one key as it was written or deleted.
 type RegistryItem struct {
 	Key string
-	// Revision is that of the store at the change; it only increases.
+	// Revision is that of the store at the change; it increases within an epoch of the store.
 	Revision uint64
 	IsDelete bool
 	Value    []byte
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -103,6 +103,9 @@
 	Watches        atomic.Int64
 	FollowRequests atomic.Int64
 	Failures       atomic.Int64
+	// OlderChanges are those that were not applied because of their revision, although they differ
+	// from what is known.
+	OlderChanges atomic.Int64
 }
 
 // Follower follows a registry. It implements core.ConfigView, core.MemberView and
@@ -127,7 +130,9 @@
 	// isStale is set while the content comes from a stale read and has not been confirmed.
 	isStale bool
 	// contactAt is the last contact with the store, by this daemon or the one that it follows.
-	contactAt       time.Time
+	contactAt time.Time
+	// seenPosition is the newest position of the store in an answer to this daemon.
+	seenPosition    core.StorePosition
 	watchAnsweredAt time.Time
 	startedAt       time.Time
 	// loneAt is when this daemon, still starting, last knew no other one of its region.
@@ -286,6 +291,7 @@
 	f.isStoreDown = false
 	f.state.MarkStoreUp(now)
 	apply(now)
+	f.Counters.OlderChanges.Store(f.state.OlderChanges())
 	f.publish(now)
 	events := f.state.TakeEvents()
 	f.mu.Unlock()
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -20,6 +20,7 @@
 type fakeRegistry struct {
 	mu       sync.Mutex
 	items    []core.RegistryItem
+	epoch    uint64
 	revision uint64
 	// err is returned by all calls, watchErr by the next watch only.
 	err      error
@@ -117,8 +118,8 @@
 		return core.RegistryAnswer{}, r.err
 	}
 	return core.RegistryAnswer{
-		Items:    slices.Clone(r.items),
-		Revision: r.revision,
+		StorePosition: r.position(),
+		Items:         slices.Clone(r.items),
 	}, nil
 }
 
@@ -138,16 +139,25 @@
 	}
 }
 
-func (r *fakeRegistry) Revision(ctx context.Context, mayBeStale bool) (uint64, error) {
+func (r *fakeRegistry) Position(ctx context.Context, mayBeStale bool) (core.StorePosition, error) {
 	if err := r.await(ctx); err != nil {
-		return 0, err
+		return core.StorePosition{}, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	position := r.position()
 	if mayBeStale && r.staleRevision > 0 {
-		return r.staleRevision, r.err
+		position.Revision = r.staleRevision
+	}
+	return position, r.err
+}
+
+// position returns the position of the store. The caller holds mu.
+func (r *fakeRegistry) position() core.StorePosition {
+	return core.StorePosition{
+		Epoch:    r.epoch,
+		Revision: r.revision,
 	}
-	return r.revision, r.err
 }
 
 func (r *fakeRegistry) Watch(ctx context.Context, after uint64, wait time.Duration) (core.RegistryAnswer, error) {
@@ -163,7 +173,7 @@
 			err, r.watchErr = r.watchErr, nil
 		}
 		answer := core.RegistryAnswer{
-			Revision: r.revision,
+			StorePosition: r.position(),
 		}
 		for _, item := range r.items {
 			if item.Revision > after {
--- a/io/follow/read.go
+++ b/io/follow/read.go
@@ -25,6 +25,7 @@
 	if err != nil {
 		return err
 	}
+	f.observePosition(listing.StorePosition)
 	f.applyListing(listing, mayBeStale)
 	return nil
 }
@@ -55,6 +56,7 @@
 	if err != nil {
 		return err
 	}
+	f.observePosition(answer.StorePosition)
 	changes := f.decode(answer)
 	f.update(0, func(now time.Time) {
 		f.isStale = false
@@ -113,6 +115,25 @@
 	return max(minWatchGap, time.Duration(seconds*float64(time.Second)))
 }
 
+// observePosition records the position of the store in an answer, for metrics, and a restoration as
+// an event. The first answer shows none.
+func (f *Follower) observePosition(position core.StorePosition) {
+	f.mu.Lock()
+	last := f.seenPosition
+	if position.IsAfter(last) {
+		f.seenPosition = position
+	}
+	f.mu.Unlock()
+	if last == (core.StorePosition{}) || position.Epoch <= last.Epoch {
+		return
+	}
+	f.record(follow.Event{
+		Kind:     core.EventStoreRestored,
+		Revision: position.Revision,
+		Detail:   fmt.Sprintf("epoch %d at revision %d follows epoch %d at revision %d", position.Epoch, position.Revision, last.Epoch, last.Revision),
+	})
+}
+
 // probeStore makes the cheapest call to a store that is down, because all daemons make it during
 // an outage and the platform charges each call.
 func (f *Follower) probeStore(ctx context.Context) error {
@@ -123,6 +144,9 @@
 		return nil
 	}
 	f.Counters.RevisionReads.Add(1)
-	_, err := f.config.Registry.Revision(ctx, true)
+	position, err := f.config.Registry.Position(ctx, true)
+	if err == nil {
+		f.observePosition(position)
+	}
 	return err
 }
--- a/io/follow/relay_test.go
+++ b/io/follow/relay_test.go
@@ -285,10 +285,10 @@
 
 	_, err := client.Follow(t.Context(), address, core.FollowRequest{IsFull: true})
 	c.Assert(core.KindOf(err), qt.Equals, core.StoreCompacted)
-	f.applyListing(core.RegistryAnswer{Items: registry.items, Revision: 2}, false)
+	f.applyListing(core.RegistryAnswer{StorePosition: core.StorePosition{Revision: 2}, Items: registry.items}, false)
 	answer, err := client.Follow(t.Context(), address, core.FollowRequest{IsFull: true})
 	c.Assert(err, qt.IsNil)
-	c.Assert(answer.RegistryAnswer, qt.DeepEquals, core.RegistryAnswer{Items: registry.items, Revision: 2})
+	c.Assert(answer.RegistryAnswer, qt.DeepEquals, core.RegistryAnswer{StorePosition: core.StorePosition{Revision: 2}, Items: registry.items})
 	c.Assert(answer.ContactAge >= 0 && answer.ContactAge < time.Second, qt.IsTrue)
 	answer, err = client.Follow(t.Context(), address, core.FollowRequest{After: 1, Wait: time.Second})
 	c.Assert(err, qt.IsNil)
--- a/io/follow/revision.go
+++ b/io/follow/revision.go
@@ -26,17 +26,18 @@
 			staleReads = 0
 		}
 		f.Counters.RevisionReads.Add(1)
-		revision, err := f.config.Registry.Revision(ctx, mayBeStale)
+		position, err := f.config.Registry.Position(ctx, mayBeStale)
 		if err != nil {
 			if ctx.Err() == nil {
 				f.markStoreDown(err)
 			}
 			continue
 		}
+		f.observePosition(position)
 		f.recordContact()
-		if f.isMissing(watch, revision) {
+		if f.isMissing(watch, position.Revision) {
 			pause(ctx, deliveryTime)
-			f.listMissing(watch, revision)
+			f.listMissing(watch, position.Revision)
 		}
 	}
 }
--- a/io/follow/startup.go
+++ b/io/follow/startup.go
@@ -39,12 +39,13 @@
 func (f *Follower) lookForOthers(ctx context.Context) error {
 	pause(ctx, loneReadInterval*3/4+rand.N(loneReadInterval/2))
 	f.Counters.RevisionReads.Add(1)
-	revision, err := f.config.Registry.Revision(ctx, true)
+	position, err := f.config.Registry.Position(ctx, true)
 	if err != nil {
 		return err
 	}
+	f.observePosition(position)
 	f.mu.Lock()
-	isChanged := revision > f.state.Revision()
+	isChanged := position.Revision > f.state.Revision()
 	f.mu.Unlock()
 	if !isChanged {
 		return nil
--- a/io/follow/view.go
+++ b/io/follow/view.go
@@ -77,6 +77,13 @@
 	return f.config.Clock.Now().Sub(f.contactAt)
 }
 
+// SeenPosition returns the newest position of the store in an answer to this daemon.
+func (f *Follower) SeenPosition() core.StorePosition {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seenPosition
+}
+
 // IsReady reports whether the daemon has had confirmed configuration and upstreams.
 func (f *Follower) IsReady() bool {
 	return f.ready.Load()
--- a/io/relay/convert.go
+++ b/io/relay/convert.go
@@ -82,8 +82,10 @@
 func decodeAnswer(message *wire.FollowAnswer) (core.FollowAnswer, error) {
 	answer := core.FollowAnswer{
 		RegistryAnswer: core.RegistryAnswer{
-			Revision: message.Revision,
-			Items:    make([]core.RegistryItem, len(message.Items)),
+			StorePosition: core.StorePosition{
+				Revision: message.Revision,
+			},
+			Items: make([]core.RegistryItem, len(message.Items)),
 		},
 		ContactAge: time.Duration(message.ContactAgeMs) * time.Millisecond,
 	}
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -41,11 +41,11 @@
 
 // Value implements core.Store.
 func (c *Client) Value(ctx context.Context, key string) (value []byte, found bool, err error) {
-	body, status, err := c.Get(ctx, "/v1/values/"+key, nil, 0)
-	if err != nil || status == http.StatusNotFound {
+	answer, err := c.Get(ctx, "/v1/values/"+key, nil, 0)
+	if err != nil || answer.Status == http.StatusNotFound {
 		return nil, false, err
 	}
-	return body, true, nil
+	return answer.Body, true, nil
 }
 
 type watchQuery struct {
@@ -61,12 +61,12 @@
 		After:  after,
 		WaitMs: wait.Milliseconds(),
 	}
-	body, status, err := c.Get(ctx, "/v1/watch", query, wait)
-	if err != nil || status == http.StatusNoContent {
+	answer, err := c.Get(ctx, "/v1/watch", query, wait)
+	if err != nil || answer.Status == http.StatusNoContent {
 		return nil, err
 	}
 	var values []core.KeyValue
-	if err = json.Unmarshal(body, &values); err != nil {
+	if err = json.Unmarshal(answer.Body, &values); err != nil {
 		return nil, core.Errorf(core.StoreMalformed, "watch after %q: %v", after, err)
 	}
 	return values, nil
@@ -83,11 +83,11 @@
 		After:  after,
 		WaitMs: wait.Milliseconds(),
 	}
-	body, status, err := c.Get(ctx, "/v1/hosts", query, wait)
-	if err != nil || status == http.StatusNoContent {
+	answer, err := c.Get(ctx, "/v1/hosts", query, wait)
+	if err != nil || answer.Status == http.StatusNoContent {
 		return core.HostList{}, false, err
 	}
-	if err = json.Unmarshal(body, &list); err != nil {
+	if err = json.Unmarshal(answer.Body, &list); err != nil {
 		return core.HostList{}, false, core.Errorf(core.StoreMalformed, "host list: %v", err)
 	}
 	return list, true, nil
--- a/io/store/fetcher.go
+++ b/io/store/fetcher.go
@@ -50,9 +50,16 @@
 	}
 }
 
-// Get returns the body and status of a 200, 204 or 404 answer; every other outcome is an error.
-// The call may take Config.Timeout plus wait.
-func (f *Fetcher) Get(ctx context.Context, path string, query any, wait time.Duration) ([]byte, int, error) {
+// Answer is an answer with status 200, 204 or 404.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Get returns an answer with status 200, 204 or 404; every other outcome is an error. The call may
+// take Config.Timeout plus wait.
+func (f *Fetcher) Get(ctx context.Context, path string, query any, wait time.Duration) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout+wait)
 	defer cancel()
 	builder := f.base.New().Get(path)
@@ -61,31 +68,35 @@
 	}
 	request, err := builder.Request()
 	if err != nil {
-		return nil, 0, core.Errorf(core.StoreMalformed, "%s: %v", path, err)
+		return Answer{}, core.Errorf(core.StoreMalformed, "%s: %v", path, err)
 	}
 	response, err := f.http.Do(request.WithContext(ctx))
 	if err != nil {
-		return nil, 0, core.Errorf(core.StoreDown, "%s: %v", path, withoutURL(err))
+		return Answer{}, core.Errorf(core.StoreDown, "%s: %v", path, withoutURL(err))
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
-		return nil, 0, core.Errorf(core.StoreDown, "%s: %v", path, err)
+		return Answer{}, core.Errorf(core.StoreDown, "%s: %v", path, err)
 	}
 	switch {
 	case len(body) > maxAnswerBytes:
-		return nil, 0, core.Errorf(core.StoreMalformed, "%s: answer is larger than %d bytes", path, maxAnswerBytes)
+		return Answer{}, core.Errorf(core.StoreMalformed, "%s: answer is larger than %d bytes", path, maxAnswerBytes)
 	case response.StatusCode == http.StatusGone:
-		return nil, 0, core.Errorf(core.StoreCompacted, "%s: the requested history has been compacted", path)
+		return Answer{}, core.Errorf(core.StoreCompacted, "%s: the requested history has been compacted", path)
 	case response.StatusCode == http.StatusTooManyRequests:
-		return nil, 0, core.Errorf(core.StoreBusy, "%s: rate limit exceeded", path)
+		return Answer{}, core.Errorf(core.StoreBusy, "%s: rate limit exceeded", path)
 	case response.StatusCode >= http.StatusInternalServerError:
-		return nil, 0, core.Errorf(core.StoreDown, "%s: status %d", path, response.StatusCode)
+		return Answer{}, core.Errorf(core.StoreDown, "%s: status %d", path, response.StatusCode)
 	case response.StatusCode == http.StatusOK, response.StatusCode == http.StatusNoContent,
 		response.StatusCode == http.StatusNotFound:
-		return body, response.StatusCode, nil
+		return Answer{
+			Status: response.StatusCode,
+			Header: response.Header,
+			Body:   body,
+		}, nil
 	}
-	return nil, 0, core.Errorf(core.StoreMalformed, "%s: unexpected status %d", path, response.StatusCode)
+	return Answer{}, core.Errorf(core.StoreMalformed, "%s: unexpected status %d", path, response.StatusCode)
 }
 
 // withoutURL removes the method and URL that net/http prepends to the cause.
