follow, relay, platform: content of a restored store is ordered by epoch

Cause: changes were ordered by the revision of the store alone, as if it had one history. A restored store gives revisions out again, so that State.apply took a new version at revision 23 for the one known at revision 23. A fast series of configurations raises the revisions above the known ones, which hides all this. The class: positions of different histories are compared.

Change: a position is an epoch and a revision, also between daemons. A newer epoch in any answer leads to a listing, whose content replaces the known one. A daemon that asks a neighbour from an older epoch gets the whole content. The cache of the compressed value compares the value instead of its revision.

--- /dev/null
+++ b/core/follow/restore_test.go
@@ -0,0 +1,221 @@
+package follow_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaway/core"
+	"verbenaway/core/follow"
+)
+
+const hold = 6 * time.Second
+
+// record returns the registration of an upstream with its start time and sequence.
+func record(revision uint64, id string, state core.HostState, startedMs, sequence int64) core.RegistryChange {
+	change := upstreamChange(revision, id, state)
+	change.Upstream.StartedMs = startedMs
+	change.Upstream.Sequence = sequence
+	return change
+}
+
+// TestRestoredStore guards against a view that ignores changes whose revisions a lost history had
+// before, and against one that follows the copy back to a configuration, an upstream or an
+// availability zone that was replaced, had left or was taken out.
+func TestRestoredStore(t *testing.T) {
+	live, leaving := core.HostLive, core.HostLeaving
+	cases := []struct {
+		name    string
+		before  []step
+		steps   []step
+		version core.Version
+		out     bool
+		members map[string]core.MemberState
+	}{
+		{
+			name:    "a change at a revision of the lost history is in force",
+			before:  []step{{watch: []core.RegistryChange{configChange(23, 12)}}},
+			steps:   []step{{list: listingOf(2, 22, configChange(22, 12))}, {watch: []core.RegistryChange{configChange(23, 14)}}},
+			version: 14,
+		},
+		{
+			name:    "a listing shows a newer version at a lower revision",
+			before:  []step{{watch: []core.RegistryChange{configChange(23, 12)}}},
+			steps:   []step{{list: listingOf(2, 20, configChange(20, 14))}},
+			version: 14,
+		},
+		{
+			name:    "the copy does not revert the configuration",
+			before:  []step{{watch: []core.RegistryChange{configChange(23, 12)}}},
+			steps:   []step{{list: listingOf(2, 20, configChange(2, 4))}},
+			version: 12,
+		},
+		{
+			name:    "a malformed configuration is not used",
+			before:  []step{{watch: []core.RegistryChange{configChange(23, 12)}}},
+			steps:   []step{{list: listingOf(2, 20, core.RegistryChange{RegistryItem: core.RegistryItem{Key: "config", Revision: 20}})}},
+			version: 12,
+		},
+		{
+			name:    "an answer of the lost history is ignored",
+			steps:   []step{{list: listingOf(2, 5, configChange(4, 3))}, {list: listingOf(1, 30, configChange(30, 9))}},
+			version: 3,
+		},
+		{
+			name:    "a second restoration",
+			before:  []step{{watch: []core.RegistryChange{configChange(23, 12)}}},
+			steps:   []step{{list: listingOf(2, 22, configChange(22, 12))}, {list: listingOf(3, 21, configChange(21, 12))}, {watch: []core.RegistryChange{configChange(22, 15)}}},
+			version: 15,
+		},
+		{
+			name:    "a zone that the copy does not take out stays out",
+			before:  []step{{watch: []core.RegistryChange{zoneChange(9, false)}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2))}, {at: grace - 1, expire: true}},
+			version: 2,
+			out:     true,
+		},
+		{
+			name:    "a zone is back after the grace period unless it is taken out again",
+			before:  []step{{watch: []core.RegistryChange{zoneChange(9, false)}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2))}, {at: grace, expire: true}},
+			version: 2,
+		},
+		{
+			name:    "a zone that is taken out again stays out",
+			before:  []step{{watch: []core.RegistryChange{zoneChange(9, false)}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2))}, {watch: []core.RegistryChange{zoneChange(9, false)}}, {at: 2 * grace, expire: true}},
+			version: 2,
+			out:     true,
+		},
+		{
+			name:    "a zone is brought back during the grace period",
+			before:  []step{{watch: []core.RegistryChange{zoneChange(9, false)}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2))}, {watch: []core.RegistryChange{zoneChange(9, true)}}},
+			version: 2,
+		},
+		{
+			name:    "an upstream that the copy lacks is kept",
+			before:  []step{{watch: []core.RegistryChange{record(9, "i1", live, 1, 1)}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2))}, {at: grace - 1, expire: true}},
+			version: 2,
+			members: map[string]core.MemberState{"i1": core.MemberAlive},
+		},
+		{
+			name:    "an upstream that does not register again is gone after the grace period",
+			before:  []step{{watch: []core.RegistryChange{record(9, "i1", live, 1, 1)}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2))}, {at: grace, expire: true}},
+			version: 2,
+		},
+		{
+			name:    "a leaving upstream does not become live by the copy",
+			before:  []step{{watch: []core.RegistryChange{record(9, "i1", leaving, 1, 7)}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))}, {at: 2 * hold, expire: true}},
+			version: 2,
+			members: map[string]core.MemberState{"i1": core.MemberLeaving},
+		},
+		{
+			name:    "an upstream that started again under its id replaces the leaving one",
+			before:  []step{{watch: []core.RegistryChange{record(9, "i1", leaving, 1, 7)}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))}, {watch: []core.RegistryChange{record(9, "i1", live, 2, 1)}}},
+			version: 2,
+			members: map[string]core.MemberState{"i1": core.MemberAlive},
+		},
+		{
+			name:    "an upstream that has left is not used again",
+			before:  []step{{watch: []core.RegistryChange{record(9, "i1", live, 1, 7), upstreamDeleted(10, "i1")}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))}, {at: hold - 1, expire: true}},
+			version: 2,
+		},
+		{
+			name:    "an upstream that has left is not used again after a second restoration",
+			before:  []step{{watch: []core.RegistryChange{record(9, "i1", live, 1, 7), upstreamDeleted(10, "i1")}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))}, {list: listingOf(3, 7, configChange(2, 2), record(5, "i1", live, 1, 3))}, {at: hold - 1, expire: true}},
+			version: 2,
+		},
+		{
+			name:    "an upstream that has left and is deleted again is not used later",
+			before:  []step{{watch: []core.RegistryChange{record(9, "i1", live, 1, 7), upstreamDeleted(10, "i1")}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))}, {watch: []core.RegistryChange{upstreamDeleted(9, "i1")}}, {at: 2 * hold, expire: true}},
+			version: 2,
+		},
+		{
+			name:    "an upstream that has left and is missing in a listing is not used later",
+			before:  []step{{watch: []core.RegistryChange{record(9, "i1", live, 1, 7), upstreamDeleted(10, "i1")}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))}, {list: listingOf(2, 9, configChange(2, 2))}, {at: 2 * hold, expire: true}},
+			version: 2,
+		},
+		{
+			name:    "an upstream whose registration the store keeps is used again",
+			before:  []step{{watch: []core.RegistryChange{record(9, "i1", live, 1, 7), upstreamDeleted(10, "i1")}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))}, {at: hold, expire: true}},
+			version: 2,
+			members: map[string]core.MemberState{"i1": core.MemberAlive},
+		},
+		{
+			name:    "an upstream that had left and registers again is used at once",
+			before:  []step{{watch: []core.RegistryChange{record(9, "i1", live, 1, 7), upstreamDeleted(10, "i1")}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 8))}},
+			version: 2,
+			members: map[string]core.MemberState{"i1": core.MemberAlive},
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			state := follow.New(follow.Config{
+				RecoveryGrace: grace,
+				DepartureHold: hold,
+			})
+			apply(state, step{list: listingOf(1, 2, configChange(2, 2))})
+			for _, s := range append(tc.before, tc.steps...) {
+				apply(state, s)
+			}
+			view := state.View()
+			c.Assert(view.Snapshot.Version, qt.Equals, tc.version)
+			c.Assert(view.Snapshot.Out["a"], qt.Equals, tc.out)
+			found := map[string]core.MemberState{}
+			for _, member := range view.Members["netbook"] {
+				found[member.Host.Instance] = member.State
+			}
+			if tc.members == nil {
+				tc.members = map[string]core.MemberState{}
+			}
+			c.Assert(found, qt.DeepEquals, tc.members)
+		})
+	}
+}
+
+// TestColdStartAfterRestoration guards against a cold start that begins again because a restored store
+// has the registration of the upstream in another epoch.
+func TestColdStartAfterRestoration(t *testing.T) {
+	c := qt.New(t)
+	state := follow.New(follow.Config{})
+	cold := upstreamChange(3, "i1", core.HostLive)
+	cold.Upstream.ColdRemaining = 3 * time.Second
+	changes := []core.RegistryChange{configChange(1, 1), cold}
+	state.ApplyListing(start, changes, at(1, 4))
+	state.ApplyListing(start.Add(time.Second), changes, at(2, 3))
+	c.Assert(state.View().Members["netbook"][0].ColdUntil, qt.Equals, start.Add(3*time.Second))
+}
+
+// TestChangesSinceRestoration guards against daemons that follow this one and miss a deletion between
+// the copy and the listing, or what is known to be newer than the copy.
+func TestChangesSinceRestoration(t *testing.T) {
+	c := qt.New(t)
+	state := follow.New(follow.Config{
+		DepartureHold: hold,
+	})
+	newest := configChange(9, 3)
+	newest.Value = []byte("newest")
+	state.ApplyListing(start, []core.RegistryChange{newest, record(8, "i1", core.HostLive, 1, 7)}, at(1, 9))
+	state.ApplyWatch(start, []core.RegistryChange{upstreamDeleted(10, "i1")}, at(1, 10))
+	state.ApplyListing(start, []core.RegistryChange{configChange(2, 2), record(5, "i1", core.HostLive, 1, 3)}, at(2, 8))
+	_, ok := state.ChangesSince(7)
+	c.Assert(ok, qt.IsFalse)
+	answer, ok := state.ChangesSince(0)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(answer.StorePosition, qt.Equals, at(2, 8))
+	c.Assert(keysOf(answer), qt.DeepEquals, []string{"config", "upstream/i1"})
+	c.Assert(string(answer.Items[0].Value), qt.Equals, "newest")
+}
--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -16,6 +16,9 @@
 	// RecoveryGrace is how long upstreams whose registrations expired during a store outage are
 	// kept after the store has recovered.
 	RecoveryGrace time.Duration
+	// DepartureHold is how long upstreams that are known to have left are not used if a restored
+	// store has their registrations again.
+	DepartureHold time.Duration
 }
 
 // View is the state that the request path uses. It is immutable.
@@ -41,18 +44,25 @@
 	core.RegistryChange
 	// coldUntil is the end of the cold start that the upstream reported, zero if none.
 	coldUntil time.Time
-	// retainedUntil is set if the registration was deleted during or shortly after a store outage;
-	// the upstream stays in use until then.
+	// retainedUntil is set if the registration was deleted during or shortly after a store outage,
+	// or if a restored store lacks the key; the upstream stays in use, or the zone taken out, until
+	// then.
 	retainedUntil time.Time
+	// copied is set in the entry of an upstream that has left, if a restored store still has its
+	// registration; it is used from retainedUntil on unless the store deletes it before.
+	copied *entry
+	// lastWrite is the newest record of the upstream, also after its deletion.
+	lastWrite writeMark
 }
 
 // State is the known content of the registry. It is not safe for concurrent use.
 type State struct {
 	config  Config
 	entries map[string]*entry
-	// completeRevision is the revision up to which all changes are known, and compactedRevision
-	// the one up to which deleted keys have been dropped.
-	completeRevision  uint64
+	// position is the one up to which all changes are known. Revisions of entries are of its
+	// epoch.
+	position core.StorePosition
+	// compactedRevision is the one up to which deleted keys may be missing.
 	compactedRevision uint64
 	isListed          bool
 	isStoreDown       bool
@@ -74,9 +84,9 @@
 	}
 }
 
-// Revision returns the revision from which a watch has to continue, 0 before the first listing.
-func (s *State) Revision() uint64 {
-	return s.completeRevision
+// Position returns the position from which a watch has to continue, zero before the first listing.
+func (s *State) Position() core.StorePosition {
+	return s.position
 }
 
 // IsReady reports whether a configuration and the list of upstreams are known.
@@ -116,36 +126,62 @@
 	}
 }
 
-// ApplyListing applies the whole content of the store as of a revision.
-func (s *State) ApplyListing(now time.Time, changes []core.RegistryChange, revision uint64) {
+// ApplyListing applies the whole content of the store as of a position. Content of an earlier epoch
+// than that of the state is ignored.
+func (s *State) ApplyListing(now time.Time, changes []core.RegistryChange, position core.StorePosition) {
+	switch {
+	case position.Epoch < s.position.Epoch:
+		return
+	case position.Epoch > s.position.Epoch && s.isListed:
+		s.startEpoch(now, changes, position)
+	default:
+		s.applyContent(now, changes, position)
+	}
+	s.isListed = true
+	s.compact()
+	s.rebuild(now)
+}
+
+// applyContent applies a listing of the epoch of the state.
+func (s *State) applyContent(now time.Time, changes []core.RegistryChange, position core.StorePosition) {
 	listed := make(map[string]bool, len(changes))
 	for _, change := range changes {
 		listed[change.Key] = true
 		s.apply(now, change)
 	}
 	for key, known := range s.entries {
-		if !listed[key] && !known.IsDelete && known.Revision <= revision {
-			s.apply(now, core.RegistryChange{
-				RegistryItem: core.RegistryItem{
-					Key:      key,
-					Revision: revision,
-					IsDelete: true,
-				},
-			})
+		isPresent := !known.IsDelete || known.copied != nil
+		if !listed[key] && isPresent && known.Revision <= position.Revision {
+			s.apply(now, deletion(key, position.Revision))
 		}
 	}
-	s.isListed = true
-	s.completeRevision = max(s.completeRevision, revision)
-	s.compact()
-	s.rebuild(now)
+	if position.IsAfter(s.position) {
+		s.position = position
+	}
+}
+
+func deletion(key string, revision uint64) core.RegistryChange {
+	return core.RegistryChange{
+		RegistryItem: core.RegistryItem{
+			Key:      key,
+			Revision: revision,
+			IsDelete: true,
+		},
+	}
 }
 
-// ApplyWatch applies the result of a watch that continued from Revision.
-func (s *State) ApplyWatch(now time.Time, changes []core.RegistryChange, revision uint64) {
+// ApplyWatch applies the result of a watch that continued from Position. Changes of another epoch
+// are ignored.
+func (s *State) ApplyWatch(now time.Time, changes []core.RegistryChange, position core.StorePosition) {
+	if position.Epoch != s.position.Epoch {
+		return
+	}
 	for _, change := range changes {
 		s.apply(now, change)
 	}
-	s.completeRevision = max(s.completeRevision, revision)
+	if position.IsAfter(s.position) {
+		s.position = position
+	}
 	if len(changes) > 0 {
 		s.compact()
 		s.rebuild(now)
@@ -159,7 +195,7 @@
 func (s *State) compact() {
 	var deleted []uint64
 	for _, e := range s.entries {
-		if e.IsDelete && e.Upstream == nil && e.Config == nil {
+		if e.isGone() {
 			deleted = append(deleted, e.Revision)
 		}
 	}
@@ -169,24 +205,33 @@
 	slices.Sort(deleted)
 	s.compactedRevision = deleted[len(deleted)-keptDeletedKeys]
 	maps.DeleteFunc(s.entries, func(_ string, e *entry) bool {
-		return e.IsDelete && e.Upstream == nil && e.Config == nil && e.Revision <= s.compactedRevision
+		return e.isGone() && e.Revision <= s.compactedRevision
 	})
 }
 
-// ChangesSince returns the changes after a revision, for daemons that follow this one; ok is
-// false before the first listing and if some of them may have been dropped. For revision 0 it
-// returns the whole content without deleted keys.
+// isGone reports whether nothing of a deleted entry is in use or may be used later.
+func (e *entry) isGone() bool {
+	return e.IsDelete && e.Upstream == nil && e.Config == nil && e.Zone == "" && e.copied == nil
+}
+
+// ChangesSince returns the changes after a revision of the current epoch, for daemons that follow
+// this one; ok is false before the first listing and if some of them may be missing. For revision 0
+// it returns the whole content without deleted keys.
 func (s *State) ChangesSince(after uint64) (answer core.RegistryAnswer, ok bool) {
 	if !s.isListed || after > 0 && after < s.compactedRevision {
 		return core.RegistryAnswer{}, false
 	}
-	answer.Revision = s.completeRevision
-	if after > 0 && after >= s.completeRevision {
+	answer.StorePosition = s.position
+	if after > 0 && after >= s.position.Revision {
 		return answer, true
 	}
 	for _, e := range s.entries {
-		if e.Revision > after && (after > 0 || !e.IsDelete) {
-			answer.Items = append(answer.Items, e.RegistryItem)
+		item := e.RegistryItem
+		if e.copied != nil {
+			item = e.copied.RegistryItem
+		}
+		if item.Revision > after && (after > 0 || !item.IsDelete) {
+			answer.Items = append(answer.Items, item)
 		}
 	}
 	slices.SortFunc(answer.Items, func(a, b core.RegistryItem) int {
@@ -204,19 +249,32 @@
 		}
 		return
 	}
-	next := &entry{
-		RegistryChange: change,
-	}
-	if change.Upstream != nil && change.Upstream.ColdRemaining > 0 {
-		next.coldUntil = now.Add(change.Upstream.ColdRemaining)
-	}
+	next := newEntry(now, change)
 	if change.IsDelete && known != nil {
+		next.lastWrite = known.lastWrite
 		s.retainDeleted(now, known, next)
 	}
 	s.entries[change.Key] = next
 	s.recordEvent(known, next)
 }
 
+func newEntry(now time.Time, change core.RegistryChange) *entry {
+	e := &entry{
+		RegistryChange: change,
+	}
+	if change.Upstream == nil {
+		return e
+	}
+	e.lastWrite = writeMark{
+		startedMs: change.Upstream.StartedMs,
+		sequence:  change.Upstream.Sequence,
+	}
+	if change.Upstream.ColdRemaining > 0 {
+		e.coldUntil = now.Add(change.Upstream.ColdRemaining)
+	}
+	return e
+}
+
 // retainDeleted keeps what is still in use of a deleted entry: a configuration, which operators
 // replace but never delete, and an upstream whose registration may have expired because of an
 // outage.
@@ -234,17 +292,17 @@
 	}
 }
 
-// Expire drops upstreams whose grace period has ended and returns the time at which the next
-// one ends, zero if there is none.
+// Expire ends the use of what was kept for a period that has ended, and returns the time at which the
+// next such period ends, zero if there is none.
 func (s *State) Expire(now time.Time) time.Time {
 	var next time.Time
 	isChanged := false
 	for _, e := range s.entries {
-		if !e.IsDelete || e.Upstream == nil {
+		if e.retainedUntil.IsZero() {
 			continue
 		}
 		if !now.Before(e.retainedUntil) {
-			e.Upstream = nil
+			s.endRetention(e)
 			isChanged = true
 			continue
 		}
@@ -295,7 +353,7 @@
 func (s *State) zonesOut() map[core.AvailabilityZone]bool {
 	out := map[core.AvailabilityZone]bool{}
 	for _, e := range s.entries {
-		if e.Zone != "" && !e.IsDelete {
+		if e.Zone != "" {
 			out[e.Zone] = true
 		}
 	}
--- a/core/follow/state_test.go
+++ b/core/follow/state_test.go
@@ -78,16 +78,27 @@
 	expire bool
 }
 
-// content is the content of the store at a revision.
+// content is the content of the store at a position.
 type content struct {
 	changes  []core.RegistryChange
-	revision uint64
+	position core.StorePosition
+}
+
+func at(epoch, revision uint64) core.StorePosition {
+	return core.StorePosition{
+		Epoch:    epoch,
+		Revision: revision,
+	}
 }
 
 func listing(revision uint64, changes ...core.RegistryChange) *content {
+	return listingOf(0, revision, changes...)
+}
+
+func listingOf(epoch, revision uint64, changes ...core.RegistryChange) *content {
 	return &content{
 		changes:  changes,
-		revision: revision,
+		position: at(epoch, revision),
 	}
 }
 
@@ -233,10 +244,10 @@
 		return
 	case s.list != nil:
 		state.MarkStoreUp(now)
-		state.ApplyListing(now, s.list.changes, s.list.revision)
+		state.ApplyListing(now, s.list.changes, s.list.position)
 	case s.watch != nil:
 		state.MarkStoreUp(now)
-		state.ApplyWatch(now, s.watch, s.watch[len(s.watch)-1].Revision)
+		state.ApplyWatch(now, s.watch, at(state.Position().Epoch, s.watch[len(s.watch)-1].Revision))
 	}
 	if s.expire {
 		state.Expire(now)
@@ -256,7 +267,7 @@
 	next.Upstream.Host.Name = old.Upstream.Host.Name
 	next.Upstream.Host.Service = "roadguard"
 	next.Upstream.StartedMs = 2000
-	state.ApplyListing(start, []core.RegistryChange{configChange(1, 1), next, old}, 6)
+	state.ApplyListing(start, []core.RegistryChange{configChange(1, 1), next, old}, at(0, 6))
 	view := state.View()
 	c.Assert(view.Members["netbook"], qt.HasLen, 0)
 	c.Assert(view.Members["roadguard"], qt.HasLen, 1)
@@ -272,10 +283,10 @@
 	})
 	cold := upstreamChange(3, "i1", core.HostLive)
 	cold.Upstream.ColdRemaining = 3 * time.Second
-	state.ApplyListing(start, []core.RegistryChange{configChange(1, 1), cold}, 4)
+	state.ApplyListing(start, []core.RegistryChange{configChange(1, 1), cold}, at(0, 4))
 	before := state.View()
 	c.Assert(before.Members["netbook"][0].ColdUntil, qt.Equals, start.Add(3*time.Second))
-	state.ApplyWatch(start.Add(time.Second), []core.RegistryChange{upstreamChange(5, "i1", core.HostLive)}, 5)
+	state.ApplyWatch(start.Add(time.Second), []core.RegistryChange{upstreamChange(5, "i1", core.HostLive)}, at(0, 5))
 	after := state.View()
 	c.Assert(after.Members["netbook"][0].ColdUntil.IsZero(), qt.IsTrue)
 	c.Assert(after.Snapshot, qt.Equals, before.Snapshot)
@@ -288,8 +299,8 @@
 	state := follow.New(follow.Config{})
 	_, ok := state.ChangesSince(0)
 	c.Assert(ok, qt.IsFalse)
-	state.ApplyListing(start, []core.RegistryChange{configChange(2, 1), upstreamChange(3, "i1", core.HostLive)}, 4)
-	state.ApplyWatch(start, []core.RegistryChange{upstreamChange(6, "i2", core.HostLive), upstreamDeleted(7, "i1")}, 9)
+	state.ApplyListing(start, []core.RegistryChange{configChange(2, 1), upstreamChange(3, "i1", core.HostLive)}, at(0, 4))
+	state.ApplyWatch(start, []core.RegistryChange{upstreamChange(6, "i2", core.HostLive), upstreamDeleted(7, "i1")}, at(0, 9))
 	answer, ok := state.ChangesSince(5)
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(answer.Revision, qt.Equals, uint64(9))
@@ -304,7 +315,7 @@
 	revision := uint64(10)
 	for i := range 5000 {
 		id := strconv.Itoa(i)
-		state.ApplyWatch(start, []core.RegistryChange{upstreamChange(revision, id, core.HostLive), upstreamDeleted(revision+1, id)}, revision+1)
+		state.ApplyWatch(start, []core.RegistryChange{upstreamChange(revision, id, core.HostLive), upstreamDeleted(revision+1, id)}, at(0, revision+1))
 		revision += 2
 	}
 	_, ok = state.ChangesSince(9)
--- a/core/kind.go
+++ b/core/kind.go
@@ -50,6 +50,7 @@
 	StoreMalformed ErrorKind = "storeMalformed"
 	StoreStale     ErrorKind = "storeStale"
 	StoreCompacted ErrorKind = "storeCompacted"
+	StoreRestored  ErrorKind = "storeRestored"
 	StoreFork      ErrorKind = "storeFork"
 
 	PeerUnreachable ErrorKind = "peerUnreachable"
@@ -115,8 +116,9 @@
 	{Kind: StoreDown, Meaning: "The store does not answer.", Action: "None: the configuration stays in force."},
 	{Kind: StoreBusy, Meaning: "The store refuses reads above its rate limit.", Action: "None: readers back off."},
 	{Kind: StoreMalformed, Meaning: "The answer of the store cannot be decoded.", Action: "Check the store."},
-	{Kind: StoreStale, Meaning: "The newest note in the store is older than the version in force.", Action: "Restore the missing notes in the store."},
+	{Kind: StoreStale, Meaning: "The content of the store is older than what is in force.", Action: "Restore the missing notes in the store."},
 	{Kind: StoreCompacted, Meaning: "The store no longer has the requested changes.", Action: "None: the daemon reads the whole content of the store."},
+	{Kind: StoreRestored, Meaning: "The store was restored from a copy, and its revisions are those of another history.", Action: "None: the daemon reads the whole content of the store."},
 	{Kind: StoreFork, Meaning: "The store has a different note under a number that is already in force.", Action: "Restore the original note in the store."},
 
 	{Kind: PeerUnreachable, Meaning: "Another daemon does not answer.", Action: "None."},
--- a/core/registry.go
+++ b/core/registry.go
@@ -6,8 +6,8 @@
 )
 
 // Registry is a platform store that holds the newest configuration as one value and an entry
-// for each upstream. Errors have the kinds StoreDown, StoreBusy, StoreMalformed and
-// StoreCompacted.
+// for each upstream. Errors have the kinds StoreDown, StoreBusy, StoreMalformed, StoreCompacted
+// and StoreRestored.
 type Registry interface {
 	// List returns the whole content of the store. A key that is not in the answer and last
 	// changed at or before the revision of the answer has been deleted. With mayBeStale the
@@ -72,9 +72,9 @@
 
 // FollowRequest asks another daemon for the content of the registry that it knows.
 type FollowRequest struct {
-	// After is the revision that the sender has; Wait bounds how long the answer may be delayed
+	// After is the position that the sender has; Wait bounds how long the answer may be delayed
 	// if there is nothing newer.
-	After uint64
+	After StorePosition
 	Wait  time.Duration
 	// IsFull asks for the whole content without delay.
 	IsFull bool
@@ -107,6 +107,9 @@
 	StartedMs int64
 	// Slots is at least 1.
 	Slots int
+	// Sequence increases with each record that the upstream has written since StartedMs, 0 if
+	// unknown.
+	Sequence int64
 	// ColdRemaining is the time that was left of the cold start when the record was written.
 	ColdRemaining time.Duration
 }
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -207,7 +207,7 @@
 }
 
 // run lists the content once and then follows changes. After a failure it continues from the last
-// known revision, or lists again if the store has compacted the changes since then.
+// known revision, or lists again if the store has compacted the changes since then or was restored.
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.runDone)
 	var retry backoff
@@ -226,6 +226,9 @@
 			continue
 		}
 		err := f.probeStore(ctx)
+		if core.KindOf(err) == core.StoreRestored {
+			err, isComplete = nil, false
+		}
 		switch {
 		case err != nil:
 		case !isComplete:
@@ -242,7 +245,7 @@
 			continue
 		case ctx.Err() != nil:
 			return
-		case core.KindOf(err) == core.StoreCompacted:
+		case core.KindOf(err) == core.StoreCompacted, core.KindOf(err) == core.StoreRestored:
 			isComplete = false
 			continue
 		case f.takeWatchCanceled():
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -187,6 +187,8 @@
 			return core.RegistryAnswer{}, ctx.Err()
 		case err != nil:
 			return core.RegistryAnswer{}, err
+		case after > answer.Revision:
+			return core.RegistryAnswer{}, core.Errorf(core.StoreCompacted, "revision %d does not exist", after)
 		case len(answer.Items) > 0:
 			return answer, nil
 		}
--- a/io/follow/read.go
+++ b/io/follow/read.go
@@ -14,7 +14,7 @@
 // its revision; this costs less.
 func (f *Follower) listAll(ctx context.Context) error {
 	f.mu.Lock()
-	isFirst := f.state.Revision() == 0
+	isFirst := f.state.Position() == (core.StorePosition{})
 	f.mu.Unlock()
 	return f.list(ctx, isFirst)
 }
@@ -26,6 +26,9 @@
 		return err
 	}
 	f.observePosition(listing.StorePosition)
+	if err = f.checkEpoch(listing.StorePosition); err != nil && core.KindOf(err) != core.StoreRestored {
+		return err
+	}
 	f.applyListing(listing, mayBeStale)
 	return nil
 }
@@ -42,7 +45,7 @@
 	f.mu.Lock()
 	f.cancelWatch = cancel
 	f.watchNumber++
-	after := f.state.Revision()
+	after := f.state.Position().Revision
 	wait := f.config.WatchWait
 	if f.isStale {
 		wait = confirmWatchWait
@@ -57,11 +60,14 @@
 		return err
 	}
 	f.observePosition(answer.StorePosition)
+	if err = f.checkEpoch(answer.StorePosition); err != nil {
+		return err
+	}
 	changes := f.decode(answer)
 	f.update(0, func(now time.Time) {
 		f.isStale = false
 		f.watchAnsweredAt = now
-		f.state.ApplyWatch(now, changes, answer.Revision)
+		f.state.ApplyWatch(now, changes, answer.StorePosition)
 	})
 	return nil
 }
@@ -74,7 +80,7 @@
 	f.isStale = isStale
 	f.mu.Unlock()
 	f.update(0, func(now time.Time) {
-		f.state.ApplyListing(now, changes, listing.Revision)
+		f.state.ApplyListing(now, changes, listing.StorePosition)
 	})
 }
 
@@ -134,6 +140,21 @@
 	})
 }
 
+// checkEpoch returns an error if an answer of the store is not of the epoch of the known content:
+// StoreRestored for a newer one, StoreStale for an older one.
+func (f *Follower) checkEpoch(position core.StorePosition) error {
+	f.mu.Lock()
+	known := f.state.Position()
+	f.mu.Unlock()
+	switch {
+	case known == (core.StorePosition{}) || position.Epoch == known.Epoch:
+		return nil
+	case position.Epoch < known.Epoch:
+		return core.Errorf(core.StoreStale, "the answer is of epoch %d, before %d", position.Epoch, known.Epoch)
+	}
+	return core.Errorf(core.StoreRestored, "the answer is of epoch %d, after %d", position.Epoch, known.Epoch)
+}
+
 // probeStore makes the cheapest call to a store that is down, because all daemons make it during
 // an outage and the platform charges each call.
 func (f *Follower) probeStore(ctx context.Context) error {
@@ -145,8 +166,9 @@
 	}
 	f.Counters.RevisionReads.Add(1)
 	position, err := f.config.Registry.Position(ctx, true)
-	if err == nil {
-		f.observePosition(position)
+	if err != nil {
+		return err
 	}
-	return err
+	f.observePosition(position)
+	return f.checkEpoch(position)
 }
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -121,25 +121,23 @@
 	if isRandom {
 		f.randomAskedAt = now
 	}
-	after, wait := f.state.Revision(), relayWait
+	after, wait := f.state.Position(), relayWait
 	if f.isStale {
 		// Even an answer without changes confirms the content.
 		wait = 0
 	}
 	f.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, wait+relayTimeout)
-	defer cancel()
-	f.Counters.FollowRequests.Add(1)
-	answer, err := f.config.Relay.Follow(callCtx, host.PeerAddress, core.FollowRequest{
+	err := f.followHost(ctx, host, core.FollowRequest{
 		After: after,
 		Wait:  wait,
 	})
-	if err == nil && answer.ContactAge >= 0 && answer.ContactAge < maxContactAge && answer.Revision >= after {
-		changes := f.decode(answer.RegistryAnswer)
-		f.update(answer.ContactAge, func(now time.Time) {
-			f.isStale = false
-			f.state.ApplyWatch(now, changes, answer.Revision)
+	if core.KindOf(err) == core.StoreCompacted {
+		err = f.followHost(ctx, host, core.FollowRequest{
+			After:  after,
+			IsFull: true,
 		})
+	}
+	if err == nil {
 		return true
 	}
 	if ctx.Err() != nil {
@@ -160,6 +158,34 @@
 	return f.followRelay(ctx)
 }
 
+// followHost asks a daemon once and applies its answer.
+func (f *Follower) followHost(ctx context.Context, host core.Host, request core.FollowRequest) error {
+	callCtx, cancel := context.WithTimeout(ctx, request.Wait+relayTimeout)
+	defer cancel()
+	f.Counters.FollowRequests.Add(1)
+	answer, err := f.config.Relay.Follow(callCtx, host.PeerAddress, request)
+	switch {
+	case err != nil:
+		return err
+	case answer.ContactAge < 0 || answer.ContactAge >= maxContactAge:
+		return core.Errorf(core.StoreDown, "%s has no contact with the store", host.Name)
+	case request.After.IsAfter(answer.StorePosition):
+		return core.Errorf(core.StoreStale, "%s knows less", host.Name)
+	case answer.Epoch != request.After.Epoch && !request.IsFull:
+		return core.Errorf(core.StoreCompacted, "%s knows a newer epoch", host.Name)
+	}
+	changes := f.decode(answer.RegistryAnswer)
+	f.update(answer.ContactAge, func(now time.Time) {
+		f.isStale = false
+		if request.IsFull {
+			f.state.ApplyListing(now, changes, answer.StorePosition)
+			return
+		}
+		f.state.ApplyWatch(now, changes, answer.StorePosition)
+	})
+	return nil
+}
+
 // Follow implements core.RelayServer.
 func (f *Follower) Follow(ctx context.Context, request core.FollowRequest) (core.FollowAnswer, error) {
 	timer := time.NewTimer(request.Wait)
@@ -184,19 +210,21 @@
 func (f *Follower) currentAnswer(request core.FollowRequest) (core.FollowAnswer, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	after := request.After
+	after, epoch := request.After.Revision, f.state.Position().Epoch
 	if request.IsFull {
 		after = 0
 	}
 	known, ok := f.state.ChangesSince(after)
-	if !ok {
-		return core.FollowAnswer{}, nil, core.Errorf(core.StoreCompacted, "revision %d is too old", request.After)
+	// A daemon of an earlier release sends no epoch.
+	isEarlierEpoch := request.After.Epoch != 0 && request.After.Epoch < epoch
+	if !ok || isEarlierEpoch && !request.IsFull {
+		return core.FollowAnswer{}, nil, core.Errorf(core.StoreCompacted, "epoch %d, revision %d is too old", request.After.Epoch, request.After.Revision)
 	}
 	answer := core.FollowAnswer{
 		RegistryAnswer: known,
 		ContactAge:     f.config.Clock.Now().Sub(f.contactAt),
 	}
-	if f.isStoreDown || f.isStale {
+	if f.isStoreDown || f.isStale || request.After.Epoch > epoch {
 		answer.ContactAge = -1
 	}
 	return answer, f.changed, nil
--- /dev/null
+++ b/io/follow/restore_test.go
@@ -0,0 +1,140 @@
+package follow
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaway/core"
+)
+
+// restore returns the store to the content that it had at a revision, in a new epoch.
+func (r *fakeRegistry) restore(revision uint64) {
+	r.set(func() {
+		r.epoch++
+		r.revision = revision
+		r.items = slices.DeleteFunc(slices.Clone(r.items), func(item core.RegistryItem) bool {
+			return item.Revision > revision
+		})
+	})
+}
+
+// TestVersionInForceAfterRestoration guards against a daemon that takes a version for an old one
+// because the store, restored from a copy, gives it a revision that the daemon has seen before, and
+// against one that lists the store again and again until the revisions are higher.
+func TestVersionInForceAfterRestoration(t *testing.T) {
+	cases := []struct {
+		name string
+		// restored are the revisions to which the store returns, one after the other.
+		restored []uint64
+		// again are the versions that the operator writes again.
+		again []core.Version
+	}{
+		{name: "the newest version is lost", restored: []uint64{7}, again: []core.Version{8}},
+		{name: "all versions but the first are lost", restored: []uint64{1}},
+		{name: "no version is lost", restored: []uint64{8}},
+		{name: "restored twice", restored: []uint64{6, 5}, again: []core.Version{7, 8}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			registry := newFakeRegistry()
+			registry.epoch = 1
+			for version := core.Version(1); version <= 8; version++ {
+				registry.write(version)
+			}
+			f := startFollower(t, registry)
+			waitVersion(t, f, 8, applyDeadline)
+			before := f.Counters.Lists.Load()
+			for _, revision := range tc.restored {
+				registry.set(func() { registry.err = core.Errorf(core.StoreDown, "down") })
+				time.Sleep(200 * time.Millisecond)
+				registry.restore(revision)
+				registry.set(func() { registry.err = nil })
+				time.Sleep(time.Second)
+			}
+			for _, version := range tc.again {
+				registry.write(version)
+			}
+			snapshot, _ := f.Snapshot()
+			c.Assert(snapshot.Version, qt.Equals, core.Version(8))
+			registry.write(9)
+			waitVersion(t, f, 9, applyDeadline)
+			lists := f.Counters.Lists.Load() - before
+			c.Assert(lists <= 2*int64(len(tc.restored)), qt.IsTrue, qt.Commentf("%d listings", lists))
+		})
+	}
+}
+
+// TestRestorationWithoutOutage guards against a daemon that does not notice that the store was
+// restored, because its watch is parked in the lost history and never answers.
+func TestRestorationWithoutOutage(t *testing.T) {
+	registry := newFakeRegistry()
+	registry.epoch = 1
+	for version := core.Version(1); version <= 4; version++ {
+		registry.write(version)
+	}
+	f := startFollower(t, registry)
+	waitVersion(t, f, 4, applyDeadline)
+	registry.mu.Lock()
+	registry.isUnresponsive = true
+	registry.mu.Unlock()
+	registry.restore(2)
+	registry.write(5)
+	waitVersion(t, f, 5, applyDeadline)
+}
+
+// TestRestorationReachesFollowers guards against daemons that keep to the lost history because the
+// store does not answer them, or because they follow a daemon that does not know of the restoration.
+func TestRestorationReachesFollowers(t *testing.T) {
+	reject := func(store *fakeRegistry) {
+		store.set(func() { store.err = core.Errorf(core.StoreDown, "calls rejected") })
+	}
+	cases := []struct {
+		name string
+		// fault happens before the restoration.
+		fault func(zone *testZone, reader core.HostName)
+	}{
+		{name: "all daemons reach the store", fault: func(*testZone, core.HostName) {}},
+		{
+			name: "the store rejects the reader",
+			fault: func(zone *testZone, reader core.HostName) {
+				reject(zone.stores[reader])
+			},
+		},
+		{
+			name: "the store rejects all but the reader",
+			fault: func(zone *testZone, reader core.HostName) {
+				for name, store := range zone.stores {
+					if name != reader {
+						reject(store)
+					}
+				}
+			},
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			zone := newTestZone(t, "d1", "d2", "d3", "d4")
+			for version := core.Version(2); version <= 8; version++ {
+				zone.write(version)
+			}
+			zone.waitVersion(t, 8, applyDeadline)
+			time.Sleep(2 * shortSourceBackoff)
+			waitUntil(t, 2*sourceBackoff, func() bool { return len(zone.readers()) == 1 })
+			tc.fault(zone, zone.readers()[0])
+			for _, store := range zone.stores {
+				store.restore(6)
+			}
+			time.Sleep(3 * time.Second)
+			zone.write(9)
+			zone.waitVersion(t, 9, applyDeadline)
+			for name, f := range zone.followers {
+				c.Assert(f.UpstreamCount(), qt.Equals, 4, qt.Commentf("%s", name))
+			}
+		})
+	}
+}
--- a/io/follow/revision.go
+++ b/io/follow/revision.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"verbenaway/core"
 )
 
 // checkRevisions periodically reads the revision of the store while this daemon watches the store.
@@ -34,10 +36,13 @@
 			continue
 		}
 		f.observePosition(position)
+		if f.requestListIfRestored(position) {
+			continue
+		}
 		f.recordContact()
-		if f.isMissing(watch, position.Revision) {
+		if f.isMissing(watch, position) {
 			pause(ctx, deliveryTime)
-			f.listMissing(watch, position.Revision)
+			f.listMissing(watch, position)
 		}
 	}
 }
@@ -89,23 +94,41 @@
 	}
 }
 
-// isMissing reports whether a watch is still parked although the store has a newer revision.
-func (f *Follower) isMissing(watch, revision uint64) bool {
+// requestListIfRestored requests a listing if an answer shows a newer epoch of the store, in which the
+// current watch cannot continue.
+func (f *Follower) requestListIfRestored(position core.StorePosition) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.state.Position()
+	if known == (core.StorePosition{}) || position.Epoch <= known.Epoch {
+		return false
+	}
+	f.requestList()
+	return true
+}
+
+// requestList makes run list the content next. The caller holds the mutex.
+func (f *Follower) requestList() {
+	f.isListRequested = true
+	if f.cancelWatch != nil {
+		f.cancelWatch()
+	}
+}
+
+// isMissing reports whether a watch is still parked although the store has a newer position.
+func (f *Follower) isMissing(watch uint64, position core.StorePosition) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cancelWatch != nil && f.watchNumber == watch && f.state.Revision() < revision
+	return f.cancelWatch != nil && f.watchNumber == watch && position.IsAfter(f.state.Position())
 }
 
 // listMissing requests a listing if a watch has not delivered a revision. Another watch might not
 // deliver it either.
-func (f *Follower) listMissing(watch, revision uint64) {
-	if !f.isMissing(watch, revision) {
+func (f *Follower) listMissing(watch uint64, position core.StorePosition) {
+	if !f.isMissing(watch, position) {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.isListRequested = true
-	if f.cancelWatch != nil {
-		f.cancelWatch()
-	}
+	f.requestList()
 }
--- a/io/follow/startup.go
+++ b/io/follow/startup.go
@@ -45,7 +45,7 @@
 	}
 	f.observePosition(position)
 	f.mu.Lock()
-	isChanged := position.Revision > f.state.Revision()
+	isChanged := position.IsAfter(f.state.Position())
 	f.mu.Unlock()
 	if !isChanged {
 		return nil
--- a/io/follow/view.go
+++ b/io/follow/view.go
@@ -33,10 +33,7 @@
 		return
 	}
 	f.hintListedAt = now
-	f.isListRequested = true
-	if f.cancelWatch != nil {
-		f.cancelWatch()
-	}
+	f.requestList()
 }
 
 // Self implements core.MemberView.
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -55,7 +55,8 @@
 // Follow implements core.RelayClient.
 func (c *Client) Follow(ctx context.Context, address string, request core.FollowRequest) (core.FollowAnswer, error) {
 	response, err := c.client(address).Follow(ctx, connect.NewRequest(&wire.FollowRequest{
-		After:  request.After,
+		Epoch:  request.After.Epoch,
+		After:  request.After.Revision,
 		WaitMs: request.Wait.Milliseconds(),
 		Whole:  request.IsFull,
 	}))
--- a/io/relay/convert.go
+++ b/io/relay/convert.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
@@ -23,13 +24,13 @@
 type answerEncoder struct {
 	mu         sync.Mutex
 	encoder    *zstd.Encoder
-	key        string
-	revision   uint64
+	value      []byte
 	compressed []byte
 }
 
 func (e *answerEncoder) encode(answer core.FollowAnswer) *wire.FollowAnswer {
 	message := &wire.FollowAnswer{
+		Epoch:        answer.Epoch,
 		Revision:     answer.Revision,
 		ContactAgeMs: answer.ContactAge.Milliseconds(),
 		Items:        make([]*wire.RegistryItem, len(answer.Items)),
@@ -56,7 +57,7 @@
 func (e *answerEncoder) compress(item core.RegistryItem) []byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.key == item.Key && e.revision == item.Revision {
+	if bytes.Equal(e.value, item.Value) {
 		return e.compressed
 	}
 	if e.encoder == nil {
@@ -64,7 +65,7 @@
 		e.encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest),
 			zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(zstd.MinWindowSize<<7))
 	}
-	e.key, e.revision = item.Key, item.Revision
+	e.value = item.Value
 	e.compressed = e.encoder.EncodeAll(item.Value, nil)
 	return e.compressed
 }
@@ -83,6 +84,7 @@
 	answer := core.FollowAnswer{
 		RegistryAnswer: core.RegistryAnswer{
 			StorePosition: core.StorePosition{
+				Epoch:    message.Epoch,
 				Revision: message.Revision,
 			},
 			Items: make([]core.RegistryItem, len(message.Items)),
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -33,7 +33,10 @@
 func (s *service) Follow(ctx context.Context, request *connect.Request[wire.FollowRequest]) (*connect.Response[wire.FollowAnswer], error) {
 	wait := time.Duration(request.Msg.WaitMs) * time.Millisecond
 	answer, err := s.server.Follow(ctx, core.FollowRequest{
-		After:  request.Msg.After,
+		After: core.StorePosition{
+			Epoch:    request.Msg.Epoch,
+			Revision: request.Msg.After,
+		},
 		Wait:   min(max(wait, 0), maxFollowWait),
 		IsFull: request.Msg.Whole,
 	})
