follow: an upstream that leaves stays leaving if its records have no sequence

Cause: only the sequence of its records told that a registration in the copy of a restored store is older. Where the sequence is missing or does not rise, a leaving upstream became live again until it repeated its record.

Change: of two records of one start, leaving is the newer one unless the other has a higher sequence.

Measured: the new case of TestRestoredStore fails before and passes now.

--- a/core/follow/restore.go
+++ b/core/follow/restore.go
@@ -81,7 +81,12 @@
 	if e.Config != nil {
 		return copied.Config == nil || e.Config.Version > copied.Config.Version
 	}
-	return !e.IsDelete && copied.Upstream != nil && copied.lastWrite.isBefore(e.lastWrite)
+	if e.IsDelete || e.Upstream == nil || copied.Upstream == nil {
+		return false
+	}
+	// An upstream that leaves does not become live again before its next start.
+	isLeaving := e.Upstream.Host.State == core.HostLeaving && e.lastWrite.startedMs == copied.lastWrite.startedMs
+	return copied.lastWrite.isBefore(e.lastWrite) || isLeaving && !e.lastWrite.isBefore(copied.lastWrite)
 }
 
 // retainMissing returns the entry for a key of the previous epoch that the copy lacks.
--- a/core/follow/restore_test.go
+++ b/core/follow/restore_test.go
@@ -114,6 +114,13 @@
 			version: 2,
 			members: map[string]core.MemberState{"i1": core.MemberLeaving},
 		},
+		{
+			name:    "a leaving upstream without sequence does not become live by the copy",
+			before:  []step{{watch: []core.RegistryChange{record(9, "i1", leaving, 1, 0)}}},
+			steps:   []step{{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 0))}},
+			version: 2,
+			members: map[string]core.MemberState{"i1": core.MemberLeaving},
+		},
 		{
 			name:    "an upstream that started again under its id replaces the leaving one",
 			before:  []step{{watch: []core.RegistryChange{record(9, "i1", leaving, 1, 7)}}},
