follow: a daemon that asks from within a gap of a listing gets the whole content

Cause: a listing does not show the keys that were created and deleted after the last known revision. A daemon that was at a revision within this gap could know such a key; it got the changes after its revision without the deletion, and would have used an upstream that had left from then on.

Change: State remembers the revisions of the last listing's gap. For a revision within it or before an earlier gap, ChangesSince is not possible, and the daemon that asks gets the whole content.

--- a/core/follow/restore.go
+++ b/core/follow/restore.go
@@ -32,7 +32,7 @@
 	s.entries = make(map[string]*entry, len(known))
 	s.position = position
 	// Deletions between the copy and the listing are not known.
-	s.compactedRevision = position.Revision
+	s.compactedRevision, s.listingGap = position.Revision, [2]uint64{}
 	s.recoveredAt = now
 	for _, change := range changes {
 		before := known[change.Key]
--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -62,8 +62,11 @@
 	// position is the one up to which all changes are known. Revisions of entries are of its
 	// epoch.
 	position core.StorePosition
-	// compactedRevision is the one up to which deleted keys may be missing.
+	// compactedRevision is the one up to which deleted keys may be missing. After it, they may be
+	// missing between the two revisions of listingGap, since a listing does not show the keys that
+	// were created and deleted meanwhile.
 	compactedRevision uint64
+	listingGap        [2]uint64
 	isListed          bool
 	isStoreDown       bool
 	recoveredAt       time.Time
@@ -156,6 +159,8 @@
 		}
 	}
 	if position.IsAfter(s.position) {
+		s.compactedRevision = max(s.compactedRevision, s.listingGap[1])
+		s.listingGap = [2]uint64{s.position.Revision, position.Revision}
 		s.position = position
 	}
 }
@@ -218,7 +223,8 @@
 // this one; ok is false before the first listing and if some of them may be missing. For revision 0
 // it returns the whole content without deleted keys.
 func (s *State) ChangesSince(after uint64) (answer core.RegistryAnswer, ok bool) {
-	if !s.isListed || after > 0 && after < s.compactedRevision {
+	isInGap := after > s.listingGap[0] && after < s.listingGap[1]
+	if !s.isListed || after > 0 && after < s.compactedRevision || isInGap {
 		return core.RegistryAnswer{}, false
 	}
 	answer.StorePosition = s.position
--- a/core/follow/state_test.go
+++ b/core/follow/state_test.go
@@ -332,6 +332,37 @@
 	c.Assert(len(answer.Items) > 2000 && len(answer.Items) <= 4096+2, qt.IsTrue, qt.Commentf("%d items", len(answer.Items)))
 }
 
+// TestChangesSinceListing guards against daemons that follow this one and keep using an upstream that
+// has left: it registered after the last change that this daemon knew, and left before its listing.
+func TestChangesSinceListing(t *testing.T) {
+	state := follow.New(follow.Config{})
+	state.ApplyListing(start, []core.RegistryChange{configChange(2, 1)}, at(0, 9))
+	state.ApplyWatch(start, []core.RegistryChange{configChange(11, 2)}, at(0, 11))
+	state.ApplyListing(start, []core.RegistryChange{configChange(11, 2)}, at(0, 20))
+	cases := []struct {
+		after uint64
+		ok    bool
+	}{
+		{after: 0, ok: true},
+		{after: 5},
+		{after: 9, ok: true},
+		{after: 11, ok: true},
+		{after: 12},
+		{after: 19},
+		{after: 20, ok: true},
+		{after: 21, ok: true},
+	}
+	for _, tc := range cases {
+		_, ok := state.ChangesSince(tc.after)
+		qt.Check(t, ok, qt.Equals, tc.ok, qt.Commentf("after %d", tc.after))
+	}
+	state.ApplyListing(start, []core.RegistryChange{configChange(11, 2)}, at(0, 30))
+	for _, after := range []uint64{12, 25} {
+		_, ok := state.ChangesSince(after)
+		qt.Check(t, ok, qt.IsFalse, qt.Commentf("after %d", after))
+	}
+}
+
 func keysOf(answer core.RegistryAnswer) []string {
 	var keys []string
 	for _, item := range answer.Items {
