runtests: the output of a test binary that ends early is shown

Cause: go test -json attributes the output of a crash, a panic in another goroutine or a timeout to the test that was running, and that test gets no event of its end. runtests printed the output of tests with such an event, so it printed none; its line named the package only. A failed package with a failed test was counted twice.

Change: the output of tests that have not ended is printed when their package fails, and the line says what failed: the running tests, the build, or something outside of the tests. A failed test or build is one failure, not two. The events are collected in a file of their own.

--- a/tools/runtests/main.go
+++ b/tools/runtests/main.go
@@ -3,8 +3,6 @@
 package main
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -15,25 +13,6 @@
 
 const knownFailuresFile = "KNOWN-RED.txt"
 
-const maxEventBytes = 16 << 20
-
-// testEvent is a line of the output of go test -json.
-type testEvent struct {
-	Action      string
-	Package     string
-	ImportPath  string
-	Test        string
-	Output      string
-	FailedBuild string
-}
-
-// result collects the outcomes of the tests.
-type result struct {
-	passed      int
-	failed      []string
-	knownFailed []string
-}
-
 // timeSensitivePackage contains the tests with real daemons, which check time limits of a few
 // seconds. It runs separately, so that other packages do not use the CPU time that the limits
 // assume.
@@ -57,7 +36,7 @@
 		}
 		goTestFailed = goTestFailed || !succeeded
 	}
-	os.Exit(report(outcome, goTestFailed))
+	os.Exit(report(os.Stdout, outcome, goTestFailed))
 }
 
 func exitWithError(operation string, err error) {
@@ -88,7 +67,7 @@
 	if err = command.Start(); err != nil {
 		return false, err
 	}
-	if err = collect(output, knownFailures, outcome); err != nil {
+	if err = newCollector(os.Stdout, knownFailures, outcome).collect(output); err != nil {
 		return false, err
 	}
 	return command.Wait() == nil, nil
@@ -114,71 +93,16 @@
 	return knownFailures, nil
 }
 
-// collect reads the events, prints the output of failed tests and adds the results to outcome. The
-// failure of a package is ignored if known failures alone caused it.
-func collect(input io.Reader, knownFailures map[string]bool, outcome *result) error {
-	outputByTest := map[string]*strings.Builder{}
-	packagesWithKnownFailures := map[string]bool{}
-	scanner := bufio.NewScanner(input)
-	scanner.Buffer(nil, maxEventBytes)
-	for scanner.Scan() {
-		var event testEvent
-		if err := json.Unmarshal(scanner.Bytes(), &event); err != nil {
-			fmt.Println(scanner.Text())
-			continue
-		}
-		// Events of a build have an import path instead of a package.
-		name := strings.TrimSpace(event.Package + event.ImportPath + " " + event.Test)
-		root, _, _ := strings.Cut(name, "/Test")
-		topLevelTest, _, _ := strings.Cut(event.Test, "/")
-		isKnown := knownFailures[event.Package+" "+topLevelTest]
-		switch event.Action {
-		case "output", "build-output":
-			if outputByTest[name] == nil {
-				outputByTest[name] = &strings.Builder{}
-			}
-			outputByTest[name].WriteString(event.Output)
-		case "pass":
-			if event.Test != "" {
-				outcome.passed++
-			} else {
-				fmt.Printf("ok   %s\n", root)
-			}
-		case "fail", "build-fail":
-			if isKnown {
-				packagesWithKnownFailures[event.Package] = true
-				outcome.knownFailed = append(outcome.knownFailed, name)
-			} else if event.Test != "" || !packagesWithKnownFailures[event.Package] || failedInPackage(outcome.failed, event.Package) {
-				outcome.failed = append(outcome.failed, name)
-			}
-			if text := outputByTest[name]; text != nil {
-				fmt.Print(text.String())
-			}
-		}
-	}
-	return scanner.Err()
-}
-
-// failedInPackage reports whether a test of the package that is not a known failure has failed.
-func failedInPackage(failed []string, packagePath string) bool {
-	for _, name := range failed {
-		if strings.HasPrefix(name, packagePath+" ") {
-			return true
-		}
-	}
-	return false
-}
-
 // report prints a summary and returns the exit code. The run also fails if go test failed
 // without a failed test, which is a crash, or if no test passed.
-func report(outcome result, goTestFailed bool) int {
+func report(output io.Writer, outcome result, goTestFailed bool) int {
 	for _, name := range outcome.knownFailed {
-		fmt.Printf("known red: %s\n", name)
+		fmt.Fprintf(output, "known red: %s\n", name)
 	}
 	for _, name := range outcome.failed {
-		fmt.Printf("failed: %s\n", name)
+		fmt.Fprintf(output, "failed: %s\n", name)
 	}
-	fmt.Printf("%d passed, %d failed\n", outcome.passed, len(outcome.failed))
+	fmt.Fprintf(output, "%d passed, %d failed\n", outcome.passed, len(outcome.failed))
 	if len(outcome.failed) > 0 || outcome.passed == 0 || goTestFailed && len(outcome.knownFailed) == 0 {
 		return 1
 	}
