runtests: a known failure hides no other failure

Cause: a failed package was ignored once a known failure had happened in it, even if the test binary crashed afterwards; a failure of go test itself was ignored if a known failure had happened in any package of either run.

Change: the failure of a package needs no line of its own only if its test binary ended all tests and printed its verdict and nothing else outside of them. A package without an outcome and an exit code of go test that no failed package explains are failures.

--- a/tools/runtests/collect.go
+++ b/tools/runtests/collect.go
@@ -35,9 +35,20 @@
 	// running has the output of each test that has started but not ended.
 	running map[string]*strings.Builder
 	// output was printed outside of tests.
-	output          strings.Builder
-	testFailed      bool
-	knownTestFailed bool
+	output     strings.Builder
+	testFailed bool
+	failed     bool
+	ended      bool
+}
+
+// failedByTests reports whether failed tests alone explain the failure of the package: all tests
+// have ended, and the test binary printed its verdict and nothing else outside of them.
+func (p *packageState) failedByTests(path string) bool {
+	if !p.testFailed || len(p.running) > 0 {
+		return false
+	}
+	summary, ok := strings.CutPrefix(p.output.String(), "FAIL\nFAIL\t"+path+"\t")
+	return ok && strings.Count(summary, "\n") == 1
 }
 
 // collector reads the events of one run of go test, prints the output of what failed and adds
@@ -125,14 +136,13 @@
 		if text != nil {
 			fmt.Fprint(c.output, text.String())
 		}
+		p.testFailed = true
 		name := event.Package + " " + event.Test
 		topLevelTest, _, _ := strings.Cut(event.Test, "/")
 		if c.knownFailures[event.Package+" "+topLevelTest] {
-			p.knownTestFailed = true
 			c.result.knownFailed = append(c.result.knownFailed, name)
 			return
 		}
-		p.testFailed = true
 		c.result.failed = append(c.result.failed, name)
 	}
 }
@@ -143,8 +153,13 @@
 	case "output":
 		p.output.WriteString(event.Output)
 	case "pass":
+		p.ended = true
 		fmt.Fprintf(c.output, "ok   %s\n", event.Package)
+	case "skip":
+		p.ended = true
 	case "fail":
+		p.ended = true
+		p.failed = true
 		c.handlePackageFailure(p, event)
 	}
 }
@@ -161,12 +176,36 @@
 	switch {
 	case event.FailedBuild != "":
 		reason = fmt.Sprintf("build of %s failed", event.FailedBuild)
-	case len(running) > 0 && !p.knownTestFailed:
+	case len(running) > 0:
 		reason = "test binary ended during " + strings.Join(running, ", ")
-	case p.testFailed || p.knownTestFailed:
+	case p.failedByTests(event.Package):
 		return
+	case p.testFailed:
+		reason = "unexpected end or output of the test binary besides the failed tests"
 	default:
 		reason = "test binary failed outside of its tests"
 	}
 	c.result.failed = append(c.result.failed, fmt.Sprintf("%s (%s)", event.Package, reason))
 }
+
+// checkEnd adds the failures of go test itself: packages that have no outcome, and an exit code that
+// no failed package explains. A process ended by a signal has the exit code -1.
+func (c *collector) checkEnd(packages []string, exitCode int) {
+	anyFailed := false
+	for _, p := range c.packages {
+		anyFailed = anyFailed || p.failed
+	}
+	for _, path := range packages {
+		p := c.packageState(path)
+		if p.ended {
+			continue
+		}
+		for _, test := range slices.Sorted(maps.Keys(p.running)) {
+			fmt.Fprint(c.output, p.running[test].String())
+		}
+		c.result.failed = append(c.result.failed, path+" (no outcome)")
+	}
+	if exitCode != 0 && (exitCode != 1 || !anyFailed) {
+		c.result.failed = append(c.result.failed, fmt.Sprintf("go test (exit code %d)", exitCode))
+	}
+}
--- a/tools/runtests/collect_test.go
+++ b/tools/runtests/collect_test.go
@@ -9,19 +9,26 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// replay passes recorded events of go test -json through a collector and the report.
-func replay(c *qt.C, recording string, goTestFailed bool, known ...string) (output string, exitCode int) {
-	events, err := os.Open(filepath.Join("testdata", recording))
-	c.Assert(err, qt.IsNil)
-	defer events.Close()
-	knownFailures := map[string]bool{}
-	for _, name := range known {
-		knownFailures[name] = true
-	}
+// recordedRun is a run of go test with recorded events.
+type recordedRun struct {
+	recording string
+	packages  []string
+	exitCode  int
+}
+
+// replay passes recorded runs through collectors and the report.
+func replay(c *qt.C, knownFailures map[string]bool, runs ...recordedRun) (output string, exitCode int) {
 	var text strings.Builder
 	outcome := result{}
-	c.Assert(newCollector(&text, knownFailures, &outcome).collect(events), qt.IsNil)
-	exitCode = report(&text, outcome, goTestFailed)
+	for _, run := range runs {
+		events, err := os.Open(filepath.Join("testdata", run.recording))
+		c.Assert(err, qt.IsNil)
+		defer events.Close()
+		collector := newCollector(&text, knownFailures, &outcome)
+		c.Assert(collector.collect(events), qt.IsNil)
+		collector.checkEnd(run.packages, run.exitCode)
+	}
+	exitCode = report(&text, outcome)
 	return text.String(), exitCode
 }
 
@@ -76,7 +83,10 @@
 	} {
 		t.Run(test.recording, func(t *testing.T) {
 			c := qt.New(t)
-			output, exitCode := replay(c, test.recording, true)
+			output, exitCode := replay(c, nil, recordedRun{
+				recording: test.recording,
+				exitCode:  1,
+			})
 			c.Check(output, qt.Contains, test.output)
 			c.Check(output, qt.Contains, test.line+"\n")
 			c.Check(output, qt.Contains, " passed, 1 failed\n")
@@ -84,3 +94,94 @@
 		})
 	}
 }
+
+// TestKnownFailureHidesNoOther guards against a failure without a failed test that is ignored because
+// a known failure happened in the same run.
+func TestKnownFailureHidesNoOther(t *testing.T) {
+	knownFailure := recordedRun{
+		recording: "failedTestAlone.json",
+		packages:  []string{"sample/failedTestAlone"},
+		exitCode:  1,
+	}
+	for _, test := range []struct {
+		name   string
+		runs   []recordedRun
+		output string
+		failed string
+	}{
+		{
+			name:   "known failure alone",
+			runs:   []recordedRun{knownFailure},
+			output: "a_test.go:3: known fault",
+		},
+		{
+			name: "crash",
+			runs: []recordedRun{{
+				recording: "crashAfterFailedTest.json",
+				packages:  []string{"sample/crashAfterFailedTest"},
+				exitCode:  1,
+			}},
+			output: "fatal error: fault",
+			failed: "sample/crashAfterFailedTest (test binary ended during TestB)",
+		},
+		{
+			name: "error in TestMain",
+			runs: []recordedRun{{
+				recording: "errorAfterFailedTest.json",
+				packages:  []string{"sample/errorAfterFailedTest"},
+				exitCode:  1,
+			}},
+			output: "processes left running: 1",
+			failed: "sample/errorAfterFailedTest (unexpected end or output of the test binary besides the failed tests)",
+		},
+		{
+			name: "package without outcome",
+			runs: []recordedRun{{
+				recording: "failedTestAlone.json",
+				packages:  []string{"sample/failedTestAlone", "sample/other"},
+				exitCode:  1,
+			}},
+			failed: "sample/other (no outcome)",
+		},
+		{
+			name: "go test killed",
+			runs: []recordedRun{{
+				recording: "failedTestAlone.json",
+				packages:  []string{"sample/failedTestAlone"},
+				exitCode:  -1,
+			}},
+			failed: "go test (exit code -1)",
+		},
+		{
+			name: "other run fails without a failed package",
+			runs: []recordedRun{
+				knownFailure,
+				{
+					recording: "passed.json",
+					packages:  []string{"sample/passed"},
+					exitCode:  1,
+				},
+			},
+			failed: "go test (exit code 1)",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			output, exitCode := replay(c, map[string]bool{
+				"sample/failedTestAlone TestKnown":      true,
+				"sample/crashAfterFailedTest TestKnown": true,
+				"sample/errorAfterFailedTest TestKnown": true,
+			}, test.runs...)
+			c.Check(output, qt.Contains, test.output)
+			c.Check(output, qt.Matches, `(?s).*known red: sample/\w+ TestKnown\n.*`)
+			if test.failed == "" {
+				c.Check(output, qt.Contains, " passed, 0 failed\n")
+				c.Check(exitCode, qt.Equals, 0)
+				return
+			}
+			c.Check(output, qt.Contains, "failed: "+test.failed+"\n")
+			c.Check(output, qt.Contains, " passed, 1 failed\n")
+			c.Check(exitCode, qt.Equals, 1)
+		})
+	}
+}
--- a/tools/runtests/main.go
+++ b/tools/runtests/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -28,15 +29,12 @@
 		exitWithError("go list", err)
 	}
 	outcome := result{}
-	goTestFailed := false
 	for _, packages := range [][]string{others, {timeSensitivePackage}} {
-		succeeded, runErr := runPackages(&outcome, knownFailures, packages)
-		if runErr != nil {
-			exitWithError("go test", runErr)
+		if err = runPackages(&outcome, knownFailures, packages); err != nil {
+			exitWithError("go test", err)
 		}
-		goTestFailed = goTestFailed || !succeeded
 	}
-	os.Exit(report(os.Stdout, outcome, goTestFailed))
+	os.Exit(report(os.Stdout, outcome))
 }
 
 func exitWithError(operation string, err error) {
@@ -56,21 +54,28 @@
 }
 
 // runPackages runs the tests of the given packages and adds the results to outcome.
-func runPackages(outcome *result, knownFailures map[string]bool, packages []string) (succeeded bool, err error) {
+func runPackages(outcome *result, knownFailures map[string]bool, packages []string) error {
 	args := append([]string{"test", "-race", "-json", "-timeout", "300s"}, os.Args[1:]...)
 	command := exec.Command("go", append(args, packages...)...)
 	command.Stderr = os.Stderr
 	output, err := command.StdoutPipe()
 	if err != nil {
-		return false, err
+		return err
 	}
 	if err = command.Start(); err != nil {
-		return false, err
+		return err
 	}
-	if err = newCollector(os.Stdout, knownFailures, outcome).collect(output); err != nil {
-		return false, err
+	events := newCollector(os.Stdout, knownFailures, outcome)
+	if err = events.collect(output); err != nil {
+		return err
 	}
-	return command.Wait() == nil, nil
+	err = command.Wait()
+	var exitErr *exec.ExitError
+	if err != nil && !errors.As(err, &exitErr) {
+		return err
+	}
+	events.checkEnd(packages, command.ProcessState.ExitCode())
+	return nil
 }
 
 // readKnownFailures returns the tests listed as "package TestName" at the start of a line. A missing
@@ -93,9 +98,8 @@
 	return knownFailures, nil
 }
 
-// report prints a summary and returns the exit code. The run also fails if go test failed
-// without a failed test, which is a crash, or if no test passed.
-func report(output io.Writer, outcome result, goTestFailed bool) int {
+// report prints a summary and returns the exit code. A run in which no test passed fails too.
+func report(output io.Writer, outcome result) int {
 	for _, name := range outcome.knownFailed {
 		fmt.Fprintf(output, "known red: %s\n", name)
 	}
@@ -103,7 +107,7 @@
 		fmt.Fprintf(output, "failed: %s\n", name)
 	}
 	fmt.Fprintf(output, "%d passed, %d failed\n", outcome.passed, len(outcome.failed))
-	if len(outcome.failed) > 0 || outcome.passed == 0 || goTestFailed && len(outcome.knownFailed) == 0 {
+	if len(outcome.failed) > 0 || outcome.passed == 0 {
 		return 1
 	}
 	return 0
