agent: the request after a pause comes before the tick

Cause: TestRequestAfterPause set its clock forward at a moment at which all loops tick. A loop that ticks between the new time and the request finds the pause, asks its peers and gets their answers in no virtual time, so that the view is confirmed and the request rightly served.

Change: the test waits until all loops are at rest, so that its request is the first event after the pause; it still demands suspectView. TestRequestsDuringResumption is new and covers the requests that the old one met by chance, those beside the tick: nothing can confirm the view, so each request after the pause has to be refused.

--- a/io/agent/agent_test.go
+++ b/io/agent/agent_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -59,6 +61,9 @@
 // before the first tick.
 func TestRequestAfterPause(t *testing.T) {
 	withFleet(t, 6, nil, func(c *qt.C, f *fleet) {
+		// The loops tick at this moment too. A loop that ticks after the pause may confirm the view
+		// before the request, since calls of peers take no virtual time.
+		synctest.Wait()
 		f.clocks[3].offset.Store(int64(3 * time.Second))
 		_, refusal := f.agents[3].Snapshot()
 		c.Check(refusal, qt.Equals, core.SuspectView)
@@ -72,6 +77,46 @@
 	})
 }
 
+// TestRequestsDuringResumption guards against a request that gets the old view while the loop finds
+// that the process was paused.
+func TestRequestsDuringResumption(t *testing.T) {
+	const tick = 200 * time.Millisecond
+	withFleet(t, 6, nil, func(c *qt.C, f *fleet) {
+		for range 10 {
+			// Neither peers nor the store can confirm the view.
+			f.partition(3)
+			f.store.update(func() { f.store.down = true })
+			var paused atomic.Bool
+			var served atomic.Int64
+			var requests sync.WaitGroup
+			for range 4 {
+				requests.Go(func() {
+					time.Sleep(tick)
+					for range 500 {
+						afterPause := paused.Load()
+						if _, refusal := f.agents[3].Snapshot(); afterPause && refusal != core.SuspectView {
+							served.Add(1)
+						}
+					}
+				})
+			}
+			time.Sleep(tick)
+			f.clocks[3].offset.Add(int64(3 * time.Second))
+			paused.Store(true)
+			requests.Wait()
+			time.Sleep(tick)
+			_, refusal := f.agents[3].Snapshot()
+			c.Check(refusal, qt.Equals, core.SuspectView)
+			c.Check(served.Load(), qt.Equals, int64(0))
+			f.partition()
+			f.store.update(func() { f.store.down = false })
+			time.Sleep(4 * time.Second)
+			_, refusal = f.agents[3].Snapshot()
+			c.Check(refusal, qt.Equals, core.ErrorKind(""))
+		}
+	})
+}
+
 // TestStartWithoutStore guards against a daemon that cannot join while the store is down, or
 // that joins below the version of its peers.
 func TestStartWithoutStore(t *testing.T) {
