follow: a daemon whose listings fail goes on asking its neighbours

Cause: once a listing is due (restored store, compacted history, hint of a request), Follower.run asks no other daemon until a listing succeeds. Stale probes do not count towards the read rate of the store and listings do, so that all daemons of a restored store can pass from the probe to listings that are rejected, and then know nothing of what their reader has.

Change: while the last call to the store has failed, a daemon with content asks its neighbours, which send the whole content if the epoch differs.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -217,7 +217,9 @@
 		if f.takeListRequest() {
 			isComplete = false
 		}
-		if isComplete && f.followRelay(ctx) {
+		// A daemon whose listing fails can still get the content from another one.
+		if (isComplete || retry.next > 0 && f.hasContent()) && f.followRelay(ctx) {
+			isComplete = true
 			retry, retryAt = backoff{}, time.Time{}
 			continue
 		}
@@ -260,6 +262,13 @@
 	}
 }
 
+// hasContent reports whether any content was listed.
+func (f *Follower) hasContent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Position() != (core.StorePosition{})
+}
+
 // backoff is the pause after a failed call to the store.
 type backoff struct {
 	// next is zero before the first failure.
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -29,6 +29,8 @@
 	isUnresponsive bool
 	// staleRevision is the revision of reads that may be stale, 0 for the newest one.
 	staleRevision uint64
+	// isBusy rejects listings, as over a read rate to which stale reads do not count.
+	isBusy bool
 	// isUnreachable keeps all calls from answering.
 	isUnreachable bool
 	changed       chan struct{}
@@ -117,6 +119,9 @@
 	if r.err != nil {
 		return core.RegistryAnswer{}, r.err
 	}
+	if r.isBusy {
+		return core.RegistryAnswer{}, core.Errorf(core.StoreBusy, "read rate exceeded")
+	}
 	return core.RegistryAnswer{
 		StorePosition: r.position(),
 		Items:         slices.Clone(r.items),
