follow: an address belongs to the upstream that started there last

Cause: a registration that is still in the store went before one that is kept for the grace period, whatever their start times. If the copy of a restored store has a crashed upstream and lacks the one that started at its address later, the address went back to the crashed one. Found by review.

Change: the start time is compared first.

Measured: TestReusedAddressAfterRestoration fails before and passes now; go test ./core/follow passed.

--- a/core/follow/restore_test.go
+++ b/core/follow/restore_test.go
@@ -193,6 +193,21 @@
 	}
 }
 
+// TestReusedAddressAfterRestoration guards against an address that goes back to an upstream that has
+// crashed, because the copy lacks the registration of the one that started there later.
+func TestReusedAddressAfterRestoration(t *testing.T) {
+	c := qt.New(t)
+	state := follow.New(follow.Config{
+		RecoveryGrace: grace,
+	})
+	crashed := record(3, "i1", core.HostLive, 1000, 1)
+	next := record(6, "i2", core.HostLive, 2000, 1)
+	next.Upstream.Host.Name = crashed.Upstream.Host.Name
+	state.ApplyListing(start, []core.RegistryChange{configChange(1, 1), crashed, next}, at(1, 6))
+	state.ApplyListing(start, []core.RegistryChange{configChange(1, 1), crashed}, at(2, 5))
+	c.Assert(state.View().ByName[crashed.Upstream.Host.Name].Host.Instance, qt.Equals, "i2")
+}
+
 // TestColdStartAfterRestoration guards against a cold start that begins again because a restored store
 // has the registration of the upstream in another epoch.
 func TestColdStartAfterRestoration(t *testing.T) {
--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -411,10 +411,13 @@
 
 // supersedes reports whether the address that a and b share belongs to a.
 func supersedes(a, b *entry) bool {
-	if a.IsDelete != b.IsDelete {
+	switch {
+	case a.Upstream.StartedMs != b.Upstream.StartedMs:
+		return a.Upstream.StartedMs > b.Upstream.StartedMs
+	case a.IsDelete != b.IsDelete:
 		return b.IsDelete
 	}
-	return cmp.Or(cmp.Compare(a.Upstream.StartedMs, b.Upstream.StartedMs), cmp.Compare(a.Revision, b.Revision)) > 0
+	return a.Revision > b.Revision
 }
 
 func (e *entry) member(now time.Time) core.Member {
