follow: the end of a grace period is logged and passed on at once

Cause: the timer that ends the use of kept upstreams and zones published the view but left its events to the next answer, so that the gatekeeper's waiting requests learned of it only then.

Change: the timer records the events and calls OnChange.

Measured: TestEndOfGraceIsPassedOn fails before and passes now (5 of 5, race detector).

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -312,6 +312,11 @@
 			Kind: core.EventStoreRecovered,
 		})
 	}
+	f.report(events)
+}
+
+// report records changes of the state and passes them on.
+func (f *Follower) report(events []follow.Event) {
 	for _, event := range events {
 		f.record(event)
 	}
@@ -341,8 +346,10 @@
 	}
 	f.expiryTimer = time.AfterFunc(next.Sub(now), func() {
 		f.mu.Lock()
-		defer f.mu.Unlock()
 		f.publish(f.config.Clock.Now())
+		events := f.state.TakeEvents()
+		f.mu.Unlock()
+		f.report(events)
 	})
 }
 
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// Decode implements core.Registry. Keys other than that of the configuration are upstreams; their
-// value is the availability zone.
+// Decode implements core.Registry. Keys other than those of the configuration and of the zone that is
+// out are upstreams; their value is the availability zone.
 func (r *fakeRegistry) Decode(item core.RegistryItem) core.RegistryChange {
 	change := core.RegistryChange{
 		RegistryItem: item,
@@ -61,6 +61,8 @@
 	case item.IsDelete:
 	case item.Key == "malformed":
 		panic("malformed")
+	case item.Key == "out":
+		change.Zone = core.AvailabilityZone(item.Value)
 	case item.Key == "config":
 		change.Config = &core.Snapshot{
 			Version: core.Version(item.Value[0]),
@@ -104,6 +106,18 @@
 	})
 }
 
+// takeOut takes an availability zone out.
+func (r *fakeRegistry) takeOut(zone core.AvailabilityZone) {
+	r.set(func() {
+		r.revision++
+		r.items = append(r.items, core.RegistryItem{
+			Key:      "out",
+			Revision: r.revision,
+			Value:    []byte(zone),
+		})
+	})
+}
+
 // set changes the store and wakes watches.
 func (r *fakeRegistry) set(change func()) {
 	r.mu.Lock()
--- a/io/follow/restore_test.go
+++ b/io/follow/restore_test.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -8,6 +9,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"verbenaway/core"
+	"verbenaway/core/follow"
+	"verbenaway/io/kernel"
 )
 
 // restore returns the store to the content that it had at a revision, in a new epoch.
@@ -86,6 +89,43 @@
 	waitVersion(t, f, 5, applyDeadline)
 }
 
+// TestEndOfGraceIsPassedOn guards against requests that wait for an availability zone although its
+// grace period after a restoration has ended.
+func TestEndOfGraceIsPassedOn(t *testing.T) {
+	registry := newFakeRegistry()
+	registry.epoch = 1
+	registry.write(1)
+	registry.takeOut("a")
+	changes := make(chan struct{}, 100)
+	f := New(Config{
+		Registry: registry,
+		Clock:    kernel.SystemClock{},
+		Journal:  nopJournal{},
+		StateConfig: follow.Config{
+			RecoveryGrace: 300 * time.Millisecond,
+		},
+		OnChange: func() { changes <- struct{}{} },
+	})
+	qt.Assert(t, f.Start(context.Background()), qt.IsNil)
+	t.Cleanup(func() { qt.Check(t, f.Stop(context.Background()), qt.IsNil) })
+	isOut := func() bool {
+		snapshot, _ := f.Snapshot()
+		return snapshot != nil && snapshot.Out["a"]
+	}
+	waitUntil(t, applyDeadline, isOut)
+	registry.restore(1)
+	waitUntil(t, applyDeadline, func() bool { return f.SeenPosition().Epoch == 2 })
+	for len(changes) > 0 {
+		<-changes
+	}
+	waitUntil(t, applyDeadline, func() bool { return !isOut() })
+	select {
+	case <-changes:
+	case <-time.After(applyDeadline):
+		t.Fatal("the end of the grace period was not passed on")
+	}
+}
+
 // TestRestorationReachesFollowers guards against daemons that keep to the lost history because the
 // store does not answer them, or because they follow a daemon that does not know of the restoration.
 func TestRestorationReachesFollowers(t *testing.T) {
