--- a/io/follow/restore_test.go
+++ b/io/follow/restore_test.go
@@ -24,6 +24,29 @@
 	})
 }
 
+// newVersionedRegistry returns a store in its first epoch, with all versions up to the newest.
+func newVersionedRegistry(newest core.Version) *fakeRegistry {
+	registry := newFakeRegistry()
+	registry.epoch = 1
+	for version := core.Version(1); version <= newest; version++ {
+		registry.write(version)
+	}
+	return registry
+}
+
+// newVersionedZone returns four daemons with version 8 and the one that reads the store.
+func newVersionedZone(t *testing.T) (zone *testZone, reader core.HostName) {
+	t.Helper()
+	zone = newTestZone(t, "d1", "d2", "d3", "d4")
+	for version := core.Version(2); version <= 8; version++ {
+		zone.write(version)
+	}
+	zone.waitVersion(t, 8, applyDeadline)
+	time.Sleep(2 * shortSourceBackoff)
+	waitUntil(t, 2*sourceBackoff, func() bool { return len(zone.readers()) == 1 })
+	return zone, zone.readers()[0]
+}
+
 // TestVersionInForceAfterRestoration guards against a daemon that takes a version for an old one
 // because the store, restored from a copy, gives it a revision that the daemon has seen before, and
 // against one that lists the store again and again until the revisions are higher.
@@ -43,11 +66,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			c := qt.New(t)
-			registry := newFakeRegistry()
-			registry.epoch = 1
-			for version := core.Version(1); version <= 8; version++ {
-				registry.write(version)
-			}
+			registry := newVersionedRegistry(8)
 			f := startFollower(t, registry)
 			waitVersion(t, f, 8, applyDeadline)
 			before := f.Counters.Lists.Load()
@@ -74,11 +93,7 @@
 // TestRestorationWithoutOutage guards against a daemon that does not notice that the store was
 // restored, because its watch is parked in the lost history and never answers.
 func TestRestorationWithoutOutage(t *testing.T) {
-	registry := newFakeRegistry()
-	registry.epoch = 1
-	for version := core.Version(1); version <= 4; version++ {
-		registry.write(version)
-	}
+	registry := newVersionedRegistry(4)
 	f := startFollower(t, registry)
 	waitVersion(t, f, 4, applyDeadline)
 	registry.mu.Lock()
@@ -92,9 +107,7 @@
 // TestEndOfGraceIsPassedOn guards against requests that wait for an availability zone although its
 // grace period after a restoration has ended.
 func TestEndOfGraceIsPassedOn(t *testing.T) {
-	registry := newFakeRegistry()
-	registry.epoch = 1
-	registry.write(1)
+	registry := newVersionedRegistry(1)
 	registry.takeOut("a")
 	changes := make(chan struct{}, 100)
 	f := New(Config{
@@ -158,14 +171,8 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			c := qt.New(t)
-			zone := newTestZone(t, "d1", "d2", "d3", "d4")
-			for version := core.Version(2); version <= 8; version++ {
-				zone.write(version)
-			}
-			zone.waitVersion(t, 8, applyDeadline)
-			time.Sleep(2 * shortSourceBackoff)
-			waitUntil(t, 2*sourceBackoff, func() bool { return len(zone.readers()) == 1 })
-			tc.fault(zone, zone.readers()[0])
+			zone, reader := newVersionedZone(t)
+			tc.fault(zone, reader)
 			for _, store := range zone.stores {
 				store.restore(6)
 			}
@@ -178,3 +185,94 @@
 		})
 	}
 }
+
+// TestFailedListingDoesNotEndFollowing guards against a daemon that no longer asks its neighbours once
+// it has to list a store that rejects its listings.
+func TestFailedListingDoesNotEndFollowing(t *testing.T) {
+	cases := []struct {
+		name string
+		// cause makes the daemons list the store again.
+		cause func(zone *testZone)
+	}{
+		{
+			name: "the store was restored",
+			cause: func(zone *testZone) {
+				for _, store := range zone.stores {
+					store.set(func() { store.err = core.Errorf(core.StoreDown, "down") })
+				}
+				time.Sleep(time.Second)
+				for _, store := range zone.stores {
+					store.restore(6)
+					store.set(func() { store.err = nil })
+				}
+			},
+		},
+		{
+			name: "requests show a newer version",
+			cause: func(zone *testZone) {
+				for _, f := range zone.followers {
+					f.ObserveVersion("d9", 9)
+				}
+				time.Sleep(hintDelay)
+				for _, f := range zone.followers {
+					f.ObserveVersion("d9", 9)
+				}
+			},
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			zone, reader := newVersionedZone(t)
+			for name, store := range zone.stores {
+				store.mu.Lock()
+				store.isBusy = name != reader
+				store.mu.Unlock()
+			}
+			tc.cause(zone)
+			// After this time the store counts as stable.
+			time.Sleep(3 * time.Second)
+			zone.write(9)
+			zone.waitVersion(t, 9, applyDeadline)
+			c.Assert(zone.followers[reader].IsReady(), qt.IsTrue)
+		})
+	}
+}
+
+// TestStaleProbeOfEarlierEpoch guards against a daemon that takes the store for down because a stale
+// read is still of the epoch before a restoration.
+func TestStaleProbeOfEarlierEpoch(t *testing.T) {
+	registry := newVersionedRegistry(4)
+	f := startFollower(t, registry)
+	waitVersion(t, f, 4, applyDeadline)
+	registry.restore(2)
+	registry.write(5)
+	waitVersion(t, f, 5, applyDeadline)
+	registry.set(func() {
+		registry.staleEpoch = 1
+		registry.err = core.Errorf(core.StoreDown, "down")
+	})
+	time.Sleep(200 * time.Millisecond)
+	registry.set(func() { registry.err = nil })
+	registry.write(6)
+	waitVersion(t, f, 6, applyDeadline)
+}
+
+// TestCompactedWatches guards against calls without a pause to a store that answers each watch with
+// StoreCompacted.
+func TestCompactedWatches(t *testing.T) {
+	c := qt.New(t)
+	registry := newFakeRegistry()
+	registry.write(1)
+	f := startFollower(t, registry)
+	waitVersion(t, f, 1, applyDeadline)
+	registry.mu.Lock()
+	registry.isCompacted = true
+	registry.mu.Unlock()
+	registry.write(2)
+	waitVersion(t, f, 2, applyDeadline)
+	before := f.Counters.Lists.Load()
+	time.Sleep(time.Second)
+	lists := f.Counters.Lists.Load() - before
+	c.Assert(lists <= int64(time.Second/minWatchGap)+1, qt.IsTrue, qt.Commentf("%d listings", lists))
+}
