--- a/core/follow/restore.go
+++ b/core/follow/restore.go
@@ -7,7 +7,7 @@
 	"verbenaway/core"
 )
 
-// writeMark orders the records of the upstreams of one key, whatever revision the store gave them.
+// writeMark orders the records that the upstreams of one key have written, whatever their revisions.
 type writeMark struct {
 	startedMs int64
 	// sequence is 0 if unknown.
@@ -32,7 +32,7 @@
 	s.entries = make(map[string]*entry, len(known))
 	s.position = position
 	// Deletions between the copy and the listing are not known.
-	s.compactedRevision, s.listingGap = position.Revision, [2]uint64{}
+	s.compactedRevision, s.listingGap = position.Revision, revisionGap{}
 	s.recoveredAt = now
 	for _, change := range changes {
 		before := known[change.Key]
--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -55,6 +55,12 @@
 	lastWrite writeMark
 }
 
+// revisionGap is the range of the revisions after one and before another.
+type revisionGap struct {
+	after  uint64
+	before uint64
+}
+
 // State is the known content of the registry. It is not safe for concurrent use.
 type State struct {
 	config  Config
@@ -62,15 +68,15 @@
 	// position is the one up to which all changes are known. Revisions of entries are of its
 	// epoch.
 	position core.StorePosition
-	// compactedRevision is the one up to which deleted keys may be missing. After it, they may be
-	// missing between the two revisions of listingGap, since a listing does not show the keys that
-	// were created and deleted meanwhile.
+	// compactedRevision is the one up to which deleted keys may be missing. It only increases within
+	// an epoch.
 	compactedRevision uint64
-	listingGap        [2]uint64
-	isListed          bool
-	isStoreDown       bool
-	recoveredAt       time.Time
-	view              View
+	// listingGap is where the last listing may have hidden keys that were created and deleted.
+	listingGap  revisionGap
+	isListed    bool
+	isStoreDown bool
+	recoveredAt time.Time
+	view        View
 	// snapshotRevision counts the snapshots that were built.
 	snapshotRevision uint64
 	// olderChanges counts the changes that were not applied because of their revision, although
@@ -159,8 +165,11 @@
 		}
 	}
 	if position.IsAfter(s.position) {
-		s.compactedRevision = max(s.compactedRevision, s.listingGap[1])
-		s.listingGap = [2]uint64{s.position.Revision, position.Revision}
+		s.compactedRevision = max(s.compactedRevision, s.listingGap.before)
+		s.listingGap = revisionGap{
+			after:  s.position.Revision,
+			before: position.Revision,
+		}
 		s.position = position
 	}
 }
@@ -208,7 +217,7 @@
 		return
 	}
 	slices.Sort(deleted)
-	s.compactedRevision = deleted[len(deleted)-keptDeletedKeys]
+	s.compactedRevision = max(s.compactedRevision, deleted[len(deleted)-keptDeletedKeys])
 	maps.DeleteFunc(s.entries, func(_ string, e *entry) bool {
 		return e.isGone() && e.Revision <= s.compactedRevision
 	})
@@ -223,7 +232,7 @@
 // this one; ok is false before the first listing and if some of them may be missing. For revision 0
 // it returns the whole content without deleted keys.
 func (s *State) ChangesSince(after uint64) (answer core.RegistryAnswer, ok bool) {
-	isInGap := after > s.listingGap[0] && after < s.listingGap[1]
+	isInGap := after > s.listingGap.after && after < s.listingGap.before
 	if !s.isListed || after > 0 && after < s.compactedRevision || isInGap {
 		return core.RegistryAnswer{}, false
 	}
