proxy: count and log answers that the HTTP server itself gives

net/http answers 400, 417, 431, 501 and 505 before any handler runs, so that neither ownAnswers nor the log showed them, and a request on a kept connection that was taken for garbage could not be told from one that never arrived.

--- a/core/kind.go
+++ b/core/kind.go
@@ -32,6 +32,7 @@
 	UpstreamFailed    ErrorKind = "upstreamFailed"
 	CanceledBeforeRun ErrorKind = "canceledBeforeRun"
 	Canceled          ErrorKind = "canceled"
+	ProtocolError     ErrorKind = "protocolError"
 	Internal          ErrorKind = "internal"
 
 	NoteSyntax    ErrorKind = "noteSyntax"
@@ -100,6 +101,7 @@
 	{Kind: UpstreamFailed, Status: http.StatusBadGateway, Meaning: "An idempotent request failed at each upstream that was tried.", Action: "Send it again."},
 	{Kind: CanceledBeforeRun, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "The connection of the caller ended before an upstream ran the request.", Action: "Send it again."},
 	{Kind: Canceled, Status: http.StatusBadGateway, Meaning: "The connection of the caller ended; the request may or may not have run.", Action: "Look up the outcome before sending it again."},
+	{Kind: ProtocolError, Status: http.StatusBadRequest, NotRun: true, Meaning: "The HTTP server itself refused the bytes on a connection before they became a request; with status 400, 417, 431, 501 or 505.", Action: "Correct the request. After other requests on the connection, look for a body of the wrong length."},
 	{Kind: Internal, Status: http.StatusInternalServerError, Meaning: "An internal error of verbenaway.", Action: "Report it with the log line."},
 
 	{Kind: NoteSyntax, Meaning: "The note is not valid TOML.", Action: "Run verbenactl check on the file."},
--- a/io/proxy/early_conn.go
+++ b/io/proxy/early_conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -92,6 +93,8 @@
 	isReadingAhead bool
 	// isReadWaiting means that Read waits for readAheadLoop.
 	isReadWaiting bool
+	// hasHandler is true from the start of a handler until its answer is complete.
+	hasHandler atomic.Bool
 	// readDeadline is the read deadline that the server has set, zero for none.
 	readDeadline time.Time
 	// err ended the reading from the network.
@@ -329,6 +332,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isHandling = true
+	c.hasHandler.Store(true)
 	c.startedHandlers++
 	defer c.changed.Broadcast()
 	defer c.startEarlyCalls()
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -123,6 +123,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxServerHeaderBytes,
 		ConnContext:       withCallerConn,
+		ConnState:         noteConnState,
 	}
 }
 
