proxy: pass an empty query on to the upstream

The gatekeeper dropped the question mark of a target that ends with it, although targets are passed on unchanged; the entry already kept it.

TestProperRequests: the row "empty query" fails before, for both upstreams, and passes after.

--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -135,11 +135,12 @@
 	request := &http.Request{
 		Method: c.request.Method,
 		URL: &url.URL{
-			Scheme:   "http",
-			Host:     c.gate.config.UpstreamAddress,
-			Path:     c.request.URL.Path,
-			RawPath:  c.request.URL.RawPath,
-			RawQuery: c.request.URL.RawQuery,
+			Scheme:     "http",
+			Host:       c.gate.config.UpstreamAddress,
+			Path:       c.request.URL.Path,
+			RawPath:    c.request.URL.RawPath,
+			RawQuery:   c.request.URL.RawQuery,
+			ForceQuery: c.request.URL.ForceQuery,
 		},
 		Host:          c.request.Host,
 		Proto:         "HTTP/1.1",
