proxy: accept headers up to the limit of the configuration

The entry answered 431 to headers of more than 64 KB, whatever max_header_bytes of the configuration in force says, and the servers of entry and gatekeeper ended at 256 KB. The limits of the HTTP servers cannot change; they are 1 MB, a bound on configured limits. The limit on the headers of answers stays 256 KB.

The bound of TestBytesWithoutEnd is the same number of bytes under its new name.

--- a/core/config.go
+++ b/core/config.go
@@ -156,6 +156,9 @@
 	Routes   map[RouteName]RouteSpec
 	Tenants  map[TenantName]TenantSpec
 	Limits   map[string]LimitSpec
+	// MaxHeaderBytes is the largest total size of headers that callers may send, 0 if the
+	// configuration does not say.
+	MaxHeaderBytes int
 	// Out holds the availability zones that operators have taken out.
 	Out map[AvailabilityZone]bool
 	// Changed holds the version that last changed each resource, by "kind/name". It has all
--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -345,6 +345,8 @@
 			Services: newest.Services,
 			Routes:   newest.Routes,
 			Out:      out,
+
+			MaxHeaderBytes: newest.MaxHeaderBytes,
 		}
 	}
 	s.rebuildMembers(now)
--- a/io/proxy/endless_test.go
+++ b/io/proxy/endless_test.go
@@ -39,7 +39,7 @@
 	const signed = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signed: 1\r\n"
 	const shed = "HTTP/1.1 503 Service Unavailable\r\nX-NotRun: 1\r\n"
 	// maxWritten is the limit for heads together with what the sockets hold.
-	const maxWritten = maxServerHeaderBytes + 8<<20
+	const maxWritten = maxAnswerHeaderBytes + 8<<20
 	line := strings.Repeat("x", 1000)
 	cases := []struct {
 		name  string
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -19,11 +19,12 @@
 )
 
 const (
-	// maxHeaderBytes limits the total size of the header names and values of a request.
+	// maxHeaderBytes limits the total size of the header names and values of a request, unless the
+	// configuration allows more.
 	maxHeaderBytes = 64 << 10
-	// maxServerHeaderBytes is the limit of the HTTP server, which refuses without an error kind. It
-	// is higher than maxHeaderBytes, so that the entry itself refuses in nearly all cases.
-	maxServerHeaderBytes = 4 * maxHeaderBytes
+	// maxServerHeaderBytes is the limit of the HTTP server, which cannot change with the
+	// configuration. It is higher than configured limits, so that the entry itself refuses.
+	maxServerHeaderBytes = 1 << 20
 	// headerTimeout limits the time in which a caller sends the headers.
 	headerTimeout = 10 * time.Second
 	// idleTimeout closes connections of callers on which no further request arrives.
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -88,8 +88,8 @@
 			to[name] = values
 		}
 	}
-	if size > maxHeaderBytes {
-		return core.TooLarge, fmt.Sprintf("the headers have %d bytes, at most %d are accepted", size, maxHeaderBytes)
+	if limit := max(maxHeaderBytes, c.view.table.Snapshot().MaxHeaderBytes); size > limit {
+		return core.TooLarge, fmt.Sprintf("the headers have %d bytes, at most %d are accepted", size, limit)
 	}
 	// Headers named by Connection are hop-by-hop headers.
 	for _, value := range from["Connection"] {
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -33,6 +33,8 @@
 	// continueTimeout is so long that only the deadline of the request ends the wait for
 	// "100 Continue". After a shorter timeout, a body would be sent without admission.
 	continueTimeout = 24 * time.Hour
+	// maxAnswerHeaderBytes limits the headers of an answer.
+	maxAnswerHeaderBytes = 256 << 10
 	// maxDetailBytes limits the text of a refusal that is passed on.
 	maxDetailBytes = 512
 )
@@ -80,7 +82,7 @@
 		MaxIdleConnsPerHost:    maxIdleConnsPerGate,
 		IdleConnTimeout:        gateIdleTimeout,
 		ExpectContinueTimeout:  continueTimeout,
-		MaxResponseHeaderBytes: maxServerHeaderBytes,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 	return t
 }
--- a/io/proxy/gate_transport.go
+++ b/io/proxy/gate_transport.go
@@ -78,7 +78,7 @@
 		IdleConnTimeout:     t.config.IdleTimeout,
 		// An upstream that does not support Expect gets the body after this time.
 		ExpectContinueTimeout:  time.Second,
-		MaxResponseHeaderBytes: maxServerHeaderBytes,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 	t.current.Store(&limitedTransport{
 		transport: transport,
