proxy: pass on no answer that the gatekeeper did not get from an upstream

What a gatekeeper's address answered without the header of a refusal was taken for the answer of an upstream. The HTTP server of a gatekeeper answers 400, 431 and others itself, before any handler, and after a restart another process can have the address; the caller then read a 4xx for a proper request, or a wrong answer. With a dialect the entry now classifies the answer as the gatekeeper does. One without the signature, or for another request, is a lost answer: idempotent requests go to another upstream within the retry budget, others get 502.

--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -407,3 +407,38 @@
 	t.Cleanup(func() { _ = response.Body.Close() })
 	return response
 }
+
+// TestAnswerOfOtherServer guards against an answer that is passed on although neither the gatekeeper nor
+// the upstream gave it: that of the HTTP server before any handler, or of another process that has got
+// the address. Its status would tell the caller that the request was wrong.
+func TestAnswerOfOtherServer(t *testing.T) {
+	cases := []struct {
+		name string
+		text string
+	}{
+		{name: "bad request", text: "HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n400 Bad Request"},
+		{name: "large headers", text: "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\n\r\n431"},
+		{name: "not found", text: "HTTP/1.1 404 Not Found\r\nContent-Length: 4\r\n\r\nnone"},
+		{name: "misdirected", text: "HTTP/1.1 421 Misdirected Request\r\nX-NotRun: 1\r\nContent-Length: 0\r\n\r\n"},
+		{name: "other answer", text: "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecret"},
+	}
+	for _, tc := range cases {
+		for _, path := range []string{"/lookup", "/order"} {
+			t.Run(tc.name+path, func(t *testing.T) {
+				c := qt.New(t)
+				rig := newMeshRig(t, nil, largeBudget, signedHandler, signedHandler)
+				wrong := rawGate(t, respondRaw(tc.text, false))
+				rig.view.change(func() { rig.view.members[0].Host.GateAddress = wrong })
+				a := rig.send("POST", path, "x")
+				c.Assert(a.err, qt.IsNil)
+				if path == "/lookup" {
+					c.Assert(a.body, qt.Equals, "ran x by i1")
+					return
+				}
+				c.Assert(a.status, qt.Equals, http.StatusBadGateway)
+				c.Assert(a.outcome, qt.Equals, OutcomeUnknown)
+				c.Assert(rig.hosts[1].upstreamRequests.Load(), qt.Equals, int32(0))
+			})
+		}
+	}
+}
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -187,6 +188,9 @@
 	if refused {
 		return r
 	}
+	if !c.isUpstreamAnswer(response) {
+		return c.lostAnswer(fmt.Sprintf("%s sent status %d, which is no answer of its upstream", c.choice.Host.Name, response.StatusCode))
+	}
 	if !c.watch.beginAnswer() {
 		return c.lostAnswer("the attempt was canceled as its answer began")
 	}
@@ -219,6 +223,18 @@
 	}
 }
 
+// isUpstreamAnswer reports whether an answer that is no refusal comes from an upstream. Gatekeepers pass on
+// no others, but the HTTP server of a gatekeeper may answer before any handler, and another process
+// may have got the address.
+func (c *call) isUpstreamAnswer(response *http.Response) bool {
+	dialect := c.entry.config.Dialect
+	if dialect == nil {
+		return true
+	}
+	class := dialect.ClassifyAnswer(c.request.Header, response.StatusCode, response.Header)
+	return !class.IsMismatched && !class.IsNotRun
+}
+
 // dropBufferInUse leaves the buffer to the garbage collector if the transport may still read from
 // it, as after an answer that came before the whole request was sent.
 func (c *call) dropBufferInUse(s *sendTrace) {
