platform: an unknown route is no 404 while the configuration is unconfirmed

A daemon that has lost contact with the store, and reaches no neighbour that has it, answered 404 for a route that a newer configuration has. To the caller, who follows that configuration, the request is proper, and 404 is not retried. Known routes are served as before.

TestUnknownRouteWithoutContact fails before (404) and passes after.

Tests that pass without a change: a daemon without a configuration, with the store empty or down, answers 503 until it has one (TestNoConfiguration); one that starts with stale content of none, one or two of three versions never answers 404 for a route of the newest, with and without a neighbour (TestRestartWithStaleContent); after a restoration of the store from an older copy no daemon that runs on or starts answers 404 for a route that all versions have (TestRouteAfterRestoration).

--- a/core/kind.go
+++ b/core/kind.go
@@ -93,7 +93,7 @@
 	{Kind: ZoneOut, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "The availability zone is taken out.", Action: "None: other availability zones serve the requests."},
 	{Kind: NoUpstream, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "No upstream of the service can take the request.", Action: "See verbenactl status for the service's hosts."},
 	{Kind: Starting, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "The daemon has not yet learned the version in force.", Action: "Use another daemon, or send it later."},
-	{Kind: SuspectView, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "The daemon was paused and has not confirmed its view of the configuration yet.", Action: "Use another daemon, or send it later."},
+	{Kind: SuspectView, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "The daemon was paused or has lost contact with the store, and has not confirmed its view of the configuration yet.", Action: "Use another daemon, or send it later."},
 	{Kind: NotOwner, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "The daemon may not act as owner of the idempotency key.", Action: "Send it again with the same key."},
 	{Kind: DeadlineBeforeRun, Status: http.StatusGatewayTimeout, NotRun: true, Meaning: "The deadline passed before an upstream ran the request.", Action: "Send it again, or raise the timeout by a note."},
 	{Kind: DeadlineInRun, Status: http.StatusGatewayTimeout, Meaning: "The deadline passed while an upstream was running the request.", Action: "Look up the outcome before sending it again."},
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -57,6 +57,10 @@
 	NewBudget func(service core.ServiceName, now time.Time) core.RetryBudget
 	// Decisions logs the decisions on requests. Optional.
 	Decisions core.DecisionLog
+	// IsConfirmed reports whether the configuration was confirmed so recently that it is the one in
+	// force. While it is not, requests that no route matches are refused with core.SuspectView,
+	// since a newer configuration may have their route. Optional.
+	IsConfirmed func() bool
 }
 
 // Entry receives requests from callers and forwards them to the gatekeeper of an upstream. It
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -156,6 +156,9 @@
 	case core.NoUpstream:
 		return kind, fmt.Sprintf("the daemon lacks service %s of route %s", match.Route.Spec.Service, match.Route.Spec.Name)
 	default:
+		if isConfirmed := c.entry.config.IsConfirmed; isConfirmed != nil && !isConfirmed() {
+			return core.SuspectView, fmt.Sprintf("no route for %s %s%s is known, and the configuration is not confirmed", query.Method, query.Host, query.Path)
+		}
 		return kind, fmt.Sprintf("no route for %s %s%s", query.Method, query.Host, query.Path)
 	}
 	hasDialect := c.entry.config.Dialect != nil
