proxy, platform: daemons with different versions agree on the routes

Routes had the names that operators give to rules, and a gatekeeper looked the route up by the name that the entry sent. While the entry and the gatekeeper had different versions, the name stood for another route or for none, and the caller got 404 (or 503, after all attempts) for a route that is in both versions.

The header still carries the operator's name, for gatekeepers of earlier releases.

TestSlowAnswersAreAwaited sent its own requests to the gatekeeper with a host that no entry would send; they now have that of the route.

--- a/core/config.go
+++ b/core/config.go
@@ -56,6 +56,7 @@
 
 // RouteSpec maps requests to a service.
 type RouteSpec struct {
+	// Name identifies the route in all versions.
 	Name RouteName `toml:"name" json:"name"`
 	// Host is compared without port and in lower case.
 	Host string `toml:"host" json:"host"`
@@ -156,6 +157,9 @@
 	Routes   map[RouteName]RouteSpec
 	Tenants  map[TenantName]TenantSpec
 	Limits   map[string]LimitSpec
+	// Labels holds the operator's names of routes from a Registry, which may change between
+	// versions.
+	Labels map[RouteName]string
 	// MaxHeaderBytes is the largest total size of headers that callers may send, 0 if the
 	// configuration does not say.
 	MaxHeaderBytes int
--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -344,6 +344,7 @@
 			Regions:  s.regions(),
 			Services: newest.Services,
 			Routes:   newest.Routes,
+			Labels:   newest.Labels,
 			Out:      out,
 
 			MaxHeaderBytes: newest.MaxHeaderBytes,
--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -442,3 +442,68 @@
 		}
 	}
 }
+
+// TestGateWithOtherConfiguration guards against a request that is called wrong because the gatekeeper has
+// another version in which the same route has another name, and against a request that runs on a route
+// that the gatekeeper's version lacks or leads elsewhere.
+func TestGateWithOtherConfiguration(t *testing.T) {
+	rename := func(routes map[core.RouteName]core.RouteSpec, from, to core.RouteName) {
+		spec := routes[from]
+		spec.Name = to
+		delete(routes, from)
+		routes[to] = spec
+	}
+	cases := []struct {
+		name string
+		edit func(routes map[core.RouteName]core.RouteSpec)
+		// kind is that of the refusal if the gatekeeper has a newer version, and kindIfOlder that if
+		// it has an older one; "" if the request runs. An older gatekeeper refuses because its
+		// daemon is starting, and there is no other upstream.
+		kind        core.ErrorKind
+		kindIfOlder core.ErrorKind
+	}{
+		{name: "same routes", edit: func(map[core.RouteName]core.RouteSpec) {}},
+		{name: "renamed", edit: func(routes map[core.RouteName]core.RouteSpec) { rename(routes, "lookup", "other") }},
+		{name: "names swapped", edit: func(routes map[core.RouteName]core.RouteSpec) {
+			rename(routes, "lookup", "other")
+			rename(routes, "home", "lookup")
+		}},
+		{name: "removed", edit: func(routes map[core.RouteName]core.RouteSpec) {
+			delete(routes, "lookup")
+		}, kind: core.NoRoute, kindIfOlder: core.NoUpstream},
+		{name: "name of another prefix", edit: func(routes map[core.RouteName]core.RouteSpec) {
+			delete(routes, "lookup")
+			rename(routes, "home", "lookup")
+		}, kind: core.NoRoute, kindIfOlder: core.NoUpstream},
+		{name: "other service", edit: func(routes map[core.RouteName]core.RouteSpec) {
+			spec := routes["lookup"]
+			spec.Service = "roadguard"
+			routes["lookup"] = spec
+		}, kind: core.NoUpstream, kindIfOlder: core.NoUpstream},
+	}
+	for _, tc := range cases {
+		for _, isOlder := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, older %v", tc.name, isOlder), func(t *testing.T) {
+				c := qt.New(t)
+				rig := newMeshRig(t, func(snapshot *core.Snapshot) { snapshot.Version = 2 }, largeBudget, signedHandler)
+				other := entrySnapshot()
+				other.Version, other.Services = 3, rig.view.snapshot.Services
+				kind := tc.kind
+				if isOlder {
+					other.Version, kind = 1, tc.kindIfOlder
+				}
+				tc.edit(other.Routes)
+				rig.hosts[0].gate.config.Config = &fakeView{
+					snapshot: other,
+				}
+				a := rig.do(rig.request("GET", "/lookup/a", "", func(r *http.Request) {
+					r.Header.Set("X-Id", "id")
+					r.Header.Set("X-Wait", "500")
+				}))
+				c.Assert(a.err, qt.IsNil)
+				c.Assert(a.header.Get("X-Kind"), qt.Equals, string(kind))
+				c.Assert(rig.hosts[0].upstreamRequests.Load() == 1, qt.Equals, kind == "")
+			})
+		}
+	}
+}
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -185,7 +186,9 @@
 
 // setHeaders sets the headers for the gatekeeper that depend on the configuration.
 func (c *call) setHeaders() {
-	c.header[keyRoute] = []string{string(c.route.Spec.Name)}
+	// Gatekeepers of earlier releases know the route by its label only.
+	name := c.route.Spec.Name
+	c.header[keyRoute] = []string{cmp.Or(c.view.table.Snapshot().Labels[name], string(name))}
 	c.header[keyVersion] = []string{c.view.table.Version()}
 	c.header[keySender] = c.entry.sender
 	if c.isClaimed {
--- a/io/proxy/entry_unresponsive_test.go
+++ b/io/proxy/entry_unresponsive_test.go
@@ -64,6 +64,7 @@
 			request := httptest.NewRequest(http.MethodGet, "/lookup/fast", nil)
 			request.Header.Set("X-Id", "other")
 			request.Header.Set("X-Wait", "2000")
+			request.Host = "mesh.test"
 			request.Header.Set(HeaderRoute, "lookup")
 			request.Header.Set(HeaderService, "netbook")
 			recorder := httptest.NewRecorder()
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -11,6 +11,7 @@
 	"verbenaway/core"
 	"verbenaway/core/admit"
 	"verbenaway/core/dedup"
+	"verbenaway/core/route"
 )
 
 // GateConfig holds the parameters of a Gate. Config, Members, Journal, Clock and Self are
@@ -76,6 +77,8 @@
 
 	keys      gateKeys
 	transport gateTransport
+	// table finds routes in the last snapshot that was used.
+	table atomic.Pointer[route.Table]
 
 	active   atomic.Int64
 	draining atomic.Bool
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -10,6 +10,7 @@
 	"verbenaway/core"
 	"verbenaway/core/admit"
 	"verbenaway/core/dedup"
+	"verbenaway/core/route"
 )
 
 // gateOutcome is what is known about the execution of a call by the upstream.
@@ -89,7 +90,7 @@
 	}
 	call.admitRequest.SenderVersion = core.Version(version)
 	call.admitRequest.Tenant = core.TenantName(firstValue(r.Header, keyTenant))
-	call.admitRequest.Route = core.RouteName(firstValue(r.Header, keyRoute))
+	call.admitRequest.Route = g.routeName(snapshot, r)
 	call.key = dedup.Key{
 		Tenant: call.admitRequest.Tenant,
 		Route:  call.admitRequest.Route,
@@ -119,6 +120,30 @@
 	return call, "", ""
 }
 
+// routeName returns the name of the request's route in a snapshot, "" if it has none. Names that operators
+// give need not stay the same in the next version, which the sender may have already or not yet; so
+// with a Dialect, whose paths are passed on literally, host and path identify the route.
+func (g *Gate) routeName(snapshot *core.Snapshot, r *http.Request) core.RouteName {
+	if g.config.Dialect == nil {
+		return core.RouteName(firstValue(r.Header, keyRoute))
+	}
+	table := g.table.Load()
+	if table == nil || table.Snapshot() != snapshot {
+		table = route.NewTable(snapshot)
+		g.table.Store(table)
+	}
+	match, _ := table.Match(route.Request{
+		Host:   r.Host,
+		Path:   r.URL.Path,
+		Method: r.Method,
+		Tenant: core.TenantName(firstValue(r.Header, keyTenant)),
+	})
+	if match.Route == nil {
+		return ""
+	}
+	return match.Route.Spec.Name
+}
+
 // run admits the call and forwards it to the upstream. It returns the kind of the refusal, empty
 // if the whole answer was sent.
 func (c *gateCall) run() (core.ErrorKind, string) {
