follow: the gap of a listing is known to daemons further down

Cause: a listing shows no key that was created and deleted since the position before it. The daemon that listed gives the whole content to daemons that ask from within that gap, but one that asks from before it gets the changes and then has a position after the gap without knowing of it. A third daemon, whose position is within the gap, gets from that one the changes since, without the deletion, and keeps the availability zone out, or an upstream in use, until its own next listing. Found by a model of one store and three states with random changes, restorations, listings, watches and relayed changes; no daemon was seen to meet it. It needs no restoration, but after one most daemons list or get the whole content at positions that differ.

Change: an answer between daemons says before which revision it may lack such keys, and the receiver records the gap as its own.

--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -71,7 +71,8 @@
 	// compactedRevision is the one up to which deleted keys may be missing. It only increases within
 	// an epoch.
 	compactedRevision uint64
-	// listingGap is where the last listing may have hidden keys that were created and deleted.
+	// listingGap is where the last listing, of this daemon or of one that it follows, may have hidden
+	// keys that were created and deleted.
 	listingGap  revisionGap
 	isListed    bool
 	isStoreDown bool
@@ -165,15 +166,33 @@
 		}
 	}
 	if position.IsAfter(s.position) {
-		s.compactedRevision = max(s.compactedRevision, s.listingGap.before)
-		s.listingGap = revisionGap{
-			after:  s.position.Revision,
-			before: position.Revision,
-		}
+		s.RecordGap(position.Revision)
 		s.position = position
 	}
 }
 
+// RecordGap records that keys which were created and deleted after Position and before a revision may
+// be missing in the content that is applied next.
+func (s *State) RecordGap(before uint64) {
+	if before <= s.position.Revision {
+		return
+	}
+	s.compactedRevision = max(s.compactedRevision, s.listingGap.before)
+	s.listingGap = revisionGap{
+		after:  s.position.Revision,
+		before: before,
+	}
+}
+
+// GapBefore returns the revision before which the changes since another one may lack such keys, 0 if
+// they lack none.
+func (s *State) GapBefore(after uint64) uint64 {
+	if after >= s.listingGap.before {
+		return 0
+	}
+	return s.listingGap.before
+}
+
 func deletion(key string, revision uint64) core.RegistryChange {
 	return core.RegistryChange{
 		RegistryItem: core.RegistryItem{
--- a/core/registry.go
+++ b/core/registry.go
@@ -86,6 +86,10 @@
 	// ContactAge is the time since the last contact with the store itself, negative if there is
 	// no current contact.
 	ContactAge time.Duration
+	// GapBefore is the revision before which the answer may lack keys that were created and deleted
+	// since the requested position, 0 if it lacks none. A daemon that has only this answer cannot
+	// tell others all changes since a position in between.
+	GapBefore uint64
 }
 
 // RelayClient sends follow requests to other daemons by address. Errors have the kinds
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -181,6 +181,7 @@
 			f.state.ApplyListing(now, changes, answer.StorePosition)
 			return
 		}
+		f.state.RecordGap(answer.GapBefore)
 		f.state.ApplyWatch(now, changes, answer.StorePosition)
 	})
 	return nil
@@ -223,6 +224,7 @@
 	answer := core.FollowAnswer{
 		RegistryAnswer: known,
 		ContactAge:     f.config.Clock.Now().Sub(f.contactAt),
+		GapBefore:      f.state.GapBefore(after),
 	}
 	if f.isStoreDown || f.isStale || request.After.Epoch > epoch {
 		answer.ContactAge = -1
--- a/io/follow/relay_test.go
+++ b/io/follow/relay_test.go
@@ -305,3 +305,59 @@
 	_, err = client.Follow(t.Context(), address, core.FollowRequest{IsFull: true})
 	c.Assert(core.KindOf(err), qt.Equals, core.PeerUnreachable)
 }
+
+// TestHiddenDeletionReachesFollowers guards against an availability zone that stays out because a daemon
+// follows one that has learned of its return only from the listing of a third one: the listing shows
+// neither that the zone was taken out nor that it was brought back.
+func TestHiddenDeletionReachesFollowers(t *testing.T) {
+	c := qt.New(t)
+	registry := newFakeRegistry()
+	config := core.RegistryAnswer{
+		StorePosition: core.StorePosition{Revision: 8},
+		Items:         []core.RegistryItem{configItem(8, 1)},
+	}
+	client := relay.NewClient(relay.ClientConfig{
+		Dial: new(net.Dialer).DialContext,
+	})
+	defer client.Close()
+	newDaemon := func() (*Follower, core.Host) {
+		f := New(Config{
+			Registry:    registry,
+			Relay:       client,
+			Clock:       kernel.SystemClock{},
+			Journal:     nopJournal{},
+			StateConfig: follow.Config{},
+		})
+		f.applyListing(config, false)
+		server := httptest.NewServer(relay.NewHandler(f))
+		c.Cleanup(server.Close)
+		return f, core.Host{PeerAddress: server.Listener.Addr().String()}
+	}
+	lister, listerHost := newDaemon()
+	first, firstHost := newDaemon()
+	last, _ := newDaemon()
+	ask := func(f *Follower, host core.Host) {
+		request := core.FollowRequest{
+			After: f.state.Position(),
+		}
+		err := f.followHost(t.Context(), host, request)
+		if core.KindOf(err) == core.StoreCompacted {
+			request.IsFull = true
+			err = f.followHost(t.Context(), host, request)
+		}
+		c.Assert(err, qt.IsNil)
+	}
+
+	last.update(0, func(now time.Time) {
+		out := core.RegistryItem{Key: "out", Revision: 10, Value: []byte("a")}
+		last.state.ApplyWatch(now, last.decode(core.RegistryAnswer{Items: []core.RegistryItem{out}}), core.StorePosition{Revision: 10})
+	})
+	c.Assert(last.view.Load().Snapshot.Out["a"], qt.IsTrue)
+	config.Revision = 13
+	lister.applyListing(config, false)
+	ask(first, listerHost)
+	c.Assert(first.state.Position().Revision, qt.Equals, uint64(13))
+	ask(last, firstHost)
+	c.Assert(last.state.Position().Revision, qt.Equals, uint64(13))
+	c.Assert(last.view.Load().Snapshot.Out["a"], qt.IsFalse)
+}
--- a/io/relay/convert.go
+++ b/io/relay/convert.go
@@ -33,6 +33,7 @@
 		Epoch:        answer.Epoch,
 		Revision:     answer.Revision,
 		ContactAgeMs: answer.ContactAge.Milliseconds(),
+		GapBefore:    answer.GapBefore,
 		Items:        make([]*wire.RegistryItem, len(answer.Items)),
 	}
 	// -1 ns, which means no contact, would be 0 in milliseconds.
@@ -90,6 +91,7 @@
 			Items: make([]core.RegistryItem, len(message.Items)),
 		},
 		ContactAge: time.Duration(message.ContactAgeMs) * time.Millisecond,
+		GapBefore:  message.GapBefore,
 	}
 	for i, item := range message.Items {
 		value := item.Value
--- a/io/relay/convert_test.go
+++ b/io/relay/convert_test.go
@@ -27,6 +27,7 @@
 					Value:    bytes.Repeat([]byte(text), minCompressBytes),
 				}},
 			},
+			GapBefore: 21,
 		}
 		message := encoder.encode(want)
 		c.Assert(message.Items[0].IsPacked, qt.IsTrue)
