follow: zones are taken out beside a configuration that cannot be decoded

Change: the configuration in use counts as the newest one if no entry has any.

Measured: the new case of TestState fails before and passes now. go test -race ./core/follow passed; make lint: 0 issues.

--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -381,7 +381,7 @@
 			newest = e.Config
 		}
 	}
-	if last := s.view.Snapshot; last != nil && newest != nil && newest.Version < last.Version {
+	if last := s.view.Snapshot; last != nil && (newest == nil || newest.Version < last.Version) {
 		return last
 	}
 	return newest
--- a/core/follow/state_test.go
+++ b/core/follow/state_test.go
@@ -211,6 +211,18 @@
 				"i1": core.MemberAlive,
 			},
 		},
+		{
+			name: "zones are taken out beside a configuration that cannot be decoded",
+			steps: []step{
+				{list: listing(5, configChange(4, 1))},
+				{watch: []core.RegistryChange{{RegistryItem: core.RegistryItem{Key: "config", Revision: 6}}}},
+				{watch: []core.RegistryChange{zoneChange(7, false)}},
+			},
+			version: 1,
+			out:     true,
+			ready:   true,
+			members: map[string]core.MemberState{},
+		},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
