follow: departures around an outage are held after the next restoration

An upstream whose registration was deleted during an outage or within the grace period after it is kept in use for that period. If a restored copy had its registration again meanwhile, the entry did not count as that of an upstream that had left, so that the copy's registration was used until the store deleted it.

The entry is now used for the grace period, within which a running upstream registers again, and after it the departure is held for DepartureHold like any other.

--- a/core/follow/restore.go
+++ b/core/follow/restore.go
@@ -55,12 +55,8 @@
 // mergeCopied returns the entry for a key that both the previous epoch and the copy have.
 func (s *State) mergeCopied(now time.Time, before, copied *entry) *entry {
 	switch {
-	case copied.Upstream != nil && before.hasLeft() && !before.lastWrite.isBefore(copied.lastWrite):
-		next := newEntry(now, deletion(copied.Key, copied.Revision))
-		next.lastWrite = before.lastWrite
-		next.copied = copied
-		next.retainedUntil = now.Add(s.config.DepartureHold)
-		return next
+	case copied.Upstream != nil && before.IsDelete && !before.lastWrite.isBefore(copied.lastWrite):
+		return s.holdDeparture(now, before, copied)
 	case before.isNewerThan(copied):
 		before.Revision = copied.Revision
 		return before
@@ -70,9 +66,19 @@
 	return copied
 }
 
-// hasLeft reports whether the upstream of an entry has left.
-func (e *entry) hasLeft() bool {
-	return e.IsDelete && e.Upstream == nil
+// holdDeparture returns the entry of an upstream whose registration was deleted and which the copy has
+// again. If the upstream may still run, it is used for the grace period, within which it registers
+// again.
+func (s *State) holdDeparture(now time.Time, before, copied *entry) *entry {
+	next := newEntry(now, deletion(copied.Key, copied.Revision))
+	next.lastWrite = before.lastWrite
+	s.retainDeleted(now, before, next)
+	next.copied = copied
+	next.copiedAt = now.Add(s.config.DepartureHold)
+	if next.Upstream == nil {
+		next.retainedUntil = next.copiedAt
+	}
+	return next
 }
 
 // isNewerThan reports whether the content of an entry of the previous epoch is newer than that of the
@@ -105,7 +111,7 @@
 }
 
 // endRetention ends the use of a deleted entry, or begins that of a registration in the copy.
-func (s *State) endRetention(e *entry) {
+func (s *State) endRetention(now time.Time, e *entry) {
 	e.retainedUntil = time.Time{}
 	if e.Zone != "" {
 		s.events = append(s.events, Event{
@@ -116,7 +122,11 @@
 		})
 	}
 	e.Upstream, e.Zone = nil, ""
-	if e.copied != nil {
+	switch {
+	case e.copied == nil:
+	case now.Before(e.copiedAt):
+		e.retainedUntil = e.copiedAt
+	default:
 		s.entries[e.Key] = e.copied
 		s.recordEvent(e, e.copied)
 	}
--- a/core/follow/restore_test.go
+++ b/core/follow/restore_test.go
@@ -159,6 +159,75 @@
 			version: 2,
 			members: map[string]core.MemberState{"i1": core.MemberAlive},
 		},
+		{
+			name: "an upstream that left during an outage is not used again after the grace period",
+			before: []step{
+				{watch: []core.RegistryChange{record(9, "i1", live, 1, 7)}},
+				{down: true},
+				{watch: []core.RegistryChange{upstreamDeleted(10, "i1")}},
+			},
+			steps: []step{
+				{at: time.Second, list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))},
+				{at: time.Second + grace, expire: true},
+				{at: time.Second + hold - 1, expire: true},
+			},
+			version: 2,
+		},
+		{
+			name:   "an upstream that left just after a restoration is not used again after the grace period",
+			before: []step{{watch: []core.RegistryChange{record(9, "i1", live, 1, 7)}}},
+			steps: []step{
+				{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))},
+				{at: time.Second, watch: []core.RegistryChange{upstreamDeleted(9, "i1")}},
+				{at: 2 * time.Second, list: listingOf(3, 8, configChange(2, 2), record(5, "i1", live, 1, 3))},
+				{at: 2*time.Second + grace, expire: true},
+			},
+			version: 2,
+		},
+		{
+			name: "an upstream that left during an outage is used again at the end of the hold if its registration is kept",
+			before: []step{
+				{watch: []core.RegistryChange{record(9, "i1", live, 1, 7)}},
+				{down: true},
+				{watch: []core.RegistryChange{upstreamDeleted(10, "i1")}},
+			},
+			steps: []step{
+				{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))},
+				{at: grace, expire: true},
+				{at: hold, expire: true},
+			},
+			version: 2,
+			members: map[string]core.MemberState{"i1": core.MemberAlive},
+		},
+		{
+			name: "an upstream whose registration expired during an outage is kept for the grace period",
+			before: []step{
+				{watch: []core.RegistryChange{record(9, "i1", live, 1, 7)}},
+				{down: true},
+				{watch: []core.RegistryChange{upstreamDeleted(10, "i1")}},
+			},
+			steps: []step{
+				{at: time.Second, list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))},
+				{at: time.Second + grace - 1, expire: true},
+			},
+			version: 2,
+			members: map[string]core.MemberState{"i1": core.MemberAlive},
+		},
+		{
+			name: "an upstream whose registration expired during an outage and that registers again is kept",
+			before: []step{
+				{watch: []core.RegistryChange{record(9, "i1", live, 1, 7)}},
+				{down: true},
+				{watch: []core.RegistryChange{upstreamDeleted(10, "i1")}},
+			},
+			steps: []step{
+				{list: listingOf(2, 8, configChange(2, 2), record(5, "i1", live, 1, 3))},
+				{at: time.Second, watch: []core.RegistryChange{record(9, "i1", live, 1, 8)}},
+				{at: 2 * hold, expire: true},
+			},
+			version: 2,
+			members: map[string]core.MemberState{"i1": core.MemberAlive},
+		},
 		{
 			name:    "an upstream that had left and registers again is used at once",
 			before:  []step{{watch: []core.RegistryChange{record(9, "i1", live, 1, 7), upstreamDeleted(10, "i1")}}},
--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -48,9 +48,11 @@
 	// or if a restored store lacks the key; the upstream stays in use, or the zone taken out, until
 	// then.
 	retainedUntil time.Time
-	// copied is set in the entry of an upstream that has left, if a restored store still has its
-	// registration; it is used from retainedUntil on unless the store deletes it before.
-	copied *entry
+	// copied is set in the entry of an upstream that has left or whose registration has expired, if
+	// a restored store still has its registration; it is used from copiedAt on unless the store
+	// deletes it before.
+	copied   *entry
+	copiedAt time.Time
 	// lastWrite is the newest record of the upstream, also after its deletion.
 	lastWrite writeMark
 }
@@ -332,15 +334,11 @@
 	var next time.Time
 	isChanged := false
 	for _, e := range s.entries {
-		if e.retainedUntil.IsZero() {
-			continue
-		}
-		if !now.Before(e.retainedUntil) {
-			s.endRetention(e)
+		if !e.retainedUntil.IsZero() && !now.Before(e.retainedUntil) {
+			s.endRetention(now, e)
 			isChanged = true
-			continue
 		}
-		if next.IsZero() || e.retainedUntil.Before(next) {
+		if !e.retainedUntil.IsZero() && (next.IsZero() || e.retainedUntil.Before(next)) {
 			next = e.retainedUntil
 		}
 	}
