follow: what is kept from before a restoration reaches daemons that start later

A daemon that has content newer than the copy from which the store was restored keeps it at the revision of the copy's item. Another daemon that listed the copy itself asks for changes after a revision that is not below that, so that it stayed on the configuration of the copy until the operator wrote again, though its neighbours used a newer one.

Answers to requests without wait now end with the kept items: the configuration, records of upstreams and departures. They repeat the key and the revision of the item that they replace, which needs no new field and is ignored by daemons of earlier releases. The first request to a daemon in an epoch has no wait, and parked requests are answered when the kept items grow. An item whose key the store has changed since the restoration is ignored, so that nothing is passed on that the store has overruled.

--- a/core/follow/restore.go
+++ b/core/follow/restore.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"slices"
 	"time"
 
 	"verbenaway/core"
@@ -56,9 +58,13 @@
 func (s *State) mergeCopied(now time.Time, before, copied *entry) *entry {
 	switch {
 	case copied.Upstream != nil && before.IsDelete && !before.lastWrite.isBefore(copied.lastWrite):
-		return s.holdDeparture(now, before, copied)
+		next := s.holdDeparture(now, copied, before.lastWrite)
+		// An upstream that may still run registers again within the grace period.
+		s.retainDeleted(now, before, next)
+		return next
 	case before.isNewerThan(copied):
 		before.Revision = copied.Revision
+		before.isKept = true
 		return before
 	case before.IsDelete == copied.IsDelete && bytes.Equal(before.Value, copied.Value):
 		copied.coldUntil = before.coldUntil
@@ -66,21 +72,84 @@
 	return copied
 }
 
-// holdDeparture returns the entry of an upstream whose registration was deleted and which the copy has
-// again. If the upstream may still run, it is used for the grace period, within which it registers
-// again.
-func (s *State) holdDeparture(now time.Time, before, copied *entry) *entry {
+// holdDeparture returns the entry of an upstream that has left, though the copy has its registration.
+func (s *State) holdDeparture(now time.Time, copied *entry, lastWrite writeMark) *entry {
 	next := newEntry(now, deletion(copied.Key, copied.Revision))
-	next.lastWrite = before.lastWrite
-	s.retainDeleted(now, before, next)
+	next.lastWrite = lastWrite
 	next.copied = copied
 	next.copiedAt = now.Add(s.config.DepartureHold)
-	if next.Upstream == nil {
-		next.retainedUntil = next.copiedAt
-	}
+	next.retainedUntil = next.copiedAt
 	return next
 }
 
+// KeptItems returns what is known to be newer than the copy from which the store was restored and
+// that the store has not changed since, in the order of revisions. Each item has the revision of the
+// one in the copy that it replaces; a deletion is the departure of an upstream.
+func (s *State) KeptItems() []core.RegistryItem {
+	var items []core.RegistryItem
+	for _, e := range s.entries {
+		if e.isKept || e.copied != nil && e.Upstream == nil {
+			items = append(items, e.RegistryItem)
+		}
+	}
+	slices.SortFunc(items, func(a, b core.RegistryItem) int {
+		return cmp.Compare(a.Revision, b.Revision)
+	})
+	return items
+}
+
+// KeptChanges returns a number that increases when an answer of another daemon adds to KeptItems.
+func (s *State) KeptChanges() uint64 {
+	return s.keptChanges
+}
+
+// splitKept separates the changes of an answer after a revision from the KeptItems that follow them.
+// Those repeat the key and the revision of a change, or have a revision that the receiver knows.
+func splitKept(changes []core.RegistryChange, after uint64) (content, kept []core.RegistryChange) {
+	revisions := make(map[string]uint64, len(changes))
+	for _, change := range changes {
+		revision, isRepeated := revisions[change.Key]
+		if change.Revision <= after || isRepeated && revision == change.Revision {
+			kept = append(kept, change)
+			continue
+		}
+		revisions[change.Key] = change.Revision
+		content = append(content, change)
+	}
+	return content, kept
+}
+
+// applyKept applies the KeptItems of another daemon. An item is ignored if the store has changed its
+// key since the restoration.
+func (s *State) applyKept(now time.Time, changes []core.RegistryChange) {
+	for _, change := range changes {
+		known := s.entries[change.Key]
+		if known == nil || known.IsDelete || known.Revision != change.Revision {
+			continue
+		}
+		next := newEntry(now, change)
+		isSame := !change.IsDelete && bytes.Equal(change.Value, known.Value)
+		switch {
+		case known.isKept && (change.IsDelete || isSame):
+			continue
+		case isSame:
+			// The value came with the changes of the same answer.
+			known.isKept = true
+			s.keptChanges++
+			continue
+		case change.IsDelete && known.Upstream != nil:
+			next = s.holdDeparture(now, known, known.lastWrite)
+		case next.isNewerThan(known):
+			next.isKept = true
+		default:
+			continue
+		}
+		s.keptChanges++
+		s.entries[change.Key] = next
+		s.recordEvent(known, next)
+	}
+}
+
 // isNewerThan reports whether the content of an entry of the previous epoch is newer than that of the
 // copy.
 func (e *entry) isNewerThan(copied *entry) bool {
--- a/core/follow/restore_test.go
+++ b/core/follow/restore_test.go
@@ -1,6 +1,7 @@
 package follow_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -310,3 +311,135 @@
 	c.Assert(keysOf(answer), qt.DeepEquals, []string{"config", "upstream/i1"})
 	c.Assert(string(answer.Items[0].Value), qt.Equals, "newest")
 }
+
+// TestKeptItems guards against a daemon that stays on the content of the copy although the one that it
+// follows knows newer content, and against one that gets content that the store has replaced since.
+func TestKeptItems(t *testing.T) {
+	live, leaving := core.HostLive, core.HostLeaving
+	withValue := func(change core.RegistryChange, value string) core.RegistryChange {
+		change.Value = []byte(value)
+		return change
+	}
+	version := func(revision uint64, number core.Version) core.RegistryChange {
+		return withValue(configChange(revision, number), strconv.Itoa(int(number)))
+	}
+	registration := func(revision uint64, id string, state core.HostState, sequence int64) core.RegistryChange {
+		return withValue(record(revision, id, state, 1, sequence), id+strconv.Itoa(int(sequence)))
+	}
+	copied := listingOf(2, 8, version(3, 3), registration(4, "i1", live, 4), registration(5, "i2", live, 5))
+	newest := map[string]core.MemberState{"i1": core.MemberLeaving}
+	cases := []struct {
+		name string
+		// since are the changes that the store has told both daemons, or one of them, after the
+		// restoration.
+		since, sinceOther, sinceOwn []core.RegistryChange
+		// isFull says that the daemon asks for the whole content.
+		isFull  bool
+		version core.Version
+		members map[string]core.MemberState
+	}{
+		{name: "nothing is written", version: 9, members: newest},
+		{name: "whole content", isFull: true, version: 9, members: newest},
+		{name: "the other daemon knows more", sinceOther: []core.RegistryChange{upstreamDeleted(9, "i9")}, version: 9, members: newest},
+		{
+			name:    "the store has replaced all",
+			since:   []core.RegistryChange{version(9, 4), registration(10, "i1", live, 4), registration(11, "i2", live, 5)},
+			version: 4,
+			members: map[string]core.MemberState{"i1": core.MemberAlive, "i2": core.MemberAlive},
+		},
+		{
+			name:       "the other daemon knows that the store has replaced all",
+			sinceOther: []core.RegistryChange{version(9, 4), registration(10, "i1", live, 4), registration(11, "i2", live, 5)},
+			version:    4,
+			members:    map[string]core.MemberState{"i1": core.MemberAlive, "i2": core.MemberAlive},
+		},
+		{
+			name:     "only this daemon knows that the store has replaced all",
+			sinceOwn: []core.RegistryChange{version(9, 4), registration(10, "i1", live, 4), registration(11, "i2", live, 5)},
+			version:  4,
+			members:  map[string]core.MemberState{"i1": core.MemberAlive, "i2": core.MemberAlive},
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			config := follow.Config{
+				DepartureHold: hold,
+			}
+			decode := decoderOf(append([]core.RegistryChange{
+				version(20, 9),
+				registration(21, "i1", leaving, 6),
+				version(9, 4),
+				registration(10, "i1", live, 4),
+				registration(11, "i2", live, 5),
+			}, copied.changes...))
+			other := follow.New(config)
+			other.ApplyListing(start, []core.RegistryChange{version(20, 9), registration(21, "i1", leaving, 6), registration(22, "i2", live, 7)}, at(1, 22))
+			other.ApplyWatch(start, []core.RegistryChange{upstreamDeleted(23, "i2")}, at(1, 23))
+			other.ApplyListing(start, copied.changes, copied.position)
+			own, third := follow.New(config), follow.New(config)
+			for _, state := range []*follow.State{own, third} {
+				state.ApplyListing(start, copied.changes, copied.position)
+			}
+			tell := func(state *follow.State, changes []core.RegistryChange) {
+				if len(changes) > 0 {
+					state.ApplyWatch(start, changes, at(2, changes[len(changes)-1].Revision))
+				}
+			}
+			for _, state := range []*follow.State{other, own, third} {
+				tell(state, tc.since)
+			}
+			tell(other, tc.sinceOther)
+			tell(own, tc.sinceOwn)
+			// The third daemon follows the one that follows the other.
+			followState(c, own, other, tc.isFull, decode)
+			followState(c, third, own, tc.isFull, decode)
+			for _, state := range []*follow.State{own, third} {
+				view := state.View()
+				c.Check(view.Snapshot.Version, qt.Equals, tc.version)
+				found := map[string]core.MemberState{}
+				for _, member := range view.Members["netbook"] {
+					found[member.Host.Instance] = member.State
+				}
+				c.Check(found, qt.DeepEquals, tc.members)
+				if _, isUsed := tc.members["i2"]; !isUsed {
+					state.Expire(start.Add(hold))
+					c.Check(state.View().Members["netbook"], qt.HasLen, 2)
+				}
+			}
+		})
+	}
+}
+
+// decoderOf returns a decoder of items that knows the values of changes.
+func decoderOf(changes []core.RegistryChange) func(core.RegistryItem) core.RegistryChange {
+	return func(item core.RegistryItem) core.RegistryChange {
+		decoded := core.RegistryChange{}
+		for _, change := range changes {
+			if !item.IsDelete && change.Key == item.Key && string(change.Value) == string(item.Value) {
+				decoded = change
+			}
+		}
+		decoded.RegistryItem = item
+		return decoded
+	}
+}
+
+// followState applies to a state what another one knows.
+func followState(c *qt.C, state, other *follow.State, isFull bool, decode func(core.RegistryItem) core.RegistryChange) {
+	after := state.Position().Revision
+	if isFull {
+		after = 0
+	}
+	answer, ok := other.ChangesSince(after)
+	c.Assert(ok, qt.IsTrue)
+	var changes []core.RegistryChange
+	for _, item := range append(answer.Items, other.KeptItems()...) {
+		changes = append(changes, decode(item))
+	}
+	if isFull {
+		state.ApplyListing(start, changes, answer.StorePosition)
+		return
+	}
+	state.ApplyWatch(start, changes, answer.StorePosition)
+}
--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -53,6 +53,9 @@
 	// deletes it before.
 	copied   *entry
 	copiedAt time.Time
+	// isKept is set if the content is of an earlier epoch and replaces that of the restored store
+	// at Revision.
+	isKept bool
 	// lastWrite is the newest record of the upstream, also after its deletion.
 	lastWrite writeMark
 }
@@ -85,7 +88,9 @@
 	// olderChanges counts the changes that were not applied because of their revision, although
 	// they differ from what is known.
 	olderChanges int64
-	events       []Event
+	// keptChanges counts the entries that became kept by the answers of other daemons.
+	keptChanges uint64
+	events      []Event
 }
 
 // New returns an empty state.
@@ -138,17 +143,19 @@
 	}
 }
 
-// ApplyListing applies the whole content of the store as of a position. Content of an earlier epoch
-// than that of the state is ignored.
+// ApplyListing applies the whole content of the store as of a position, followed by KeptItems if it
+// is that of another daemon. Content of an earlier epoch than that of the state is ignored.
 func (s *State) ApplyListing(now time.Time, changes []core.RegistryChange, position core.StorePosition) {
+	content, kept := splitKept(changes, 0)
 	switch {
 	case position.Epoch < s.position.Epoch:
 		return
 	case position.Epoch > s.position.Epoch && s.isListed:
-		s.startEpoch(now, changes, position)
+		s.startEpoch(now, content, position)
 	default:
-		s.applyContent(now, changes, position)
+		s.applyContent(now, content, position)
 	}
+	s.applyKept(now, kept)
 	s.isListed = true
 	s.compact()
 	s.rebuild(now)
@@ -205,15 +212,17 @@
 	}
 }
 
-// ApplyWatch applies the result of a watch that continued from Position. Changes of another epoch
-// are ignored.
+// ApplyWatch applies the result of a watch that continued from Position, followed by KeptItems if it
+// is that of another daemon. Changes of another epoch are ignored.
 func (s *State) ApplyWatch(now time.Time, changes []core.RegistryChange, position core.StorePosition) {
 	if position.Epoch != s.position.Epoch {
 		return
 	}
-	for _, change := range changes {
+	content, kept := splitKept(changes, s.position.Revision)
+	for _, change := range content {
 		s.apply(now, change)
 	}
+	s.applyKept(now, kept)
 	if position.IsAfter(s.position) {
 		s.position = position
 	}
--- a/core/registry.go
+++ b/core/registry.go
@@ -73,14 +73,17 @@
 // FollowRequest asks another daemon for the content of the registry that it knows.
 type FollowRequest struct {
 	// After is the position that the sender has; Wait bounds how long the answer may be delayed
-	// if there is nothing newer.
+	// if there is nothing newer. An answer without wait has all that the daemon keeps from earlier
+	// epochs.
 	After StorePosition
 	Wait  time.Duration
 	// IsFull asks for the whole content without delay.
 	IsFull bool
 }
 
-// FollowAnswer holds the changes that a daemon knows after a revision.
+// FollowAnswer holds the changes that a daemon knows after a revision. Items that it keeps from
+// earlier epochs, because they are newer than the copy from which the store was restored, follow
+// the changes and have the revisions of the items in the copy that they replace.
 type FollowAnswer struct {
 	RegistryAnswer
 	// ContactAge is the time since the last contact with the store itself, negative if there is
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -154,6 +154,9 @@
 	randomAskedAt time.Time
 	// backoffUntil holds the time until which a daemon is not asked.
 	backoffUntil map[core.HostName]time.Time
+	// mergedEpochs holds the epoch in which a daemon last answered with what it keeps from earlier
+	// epochs.
+	mergedEpochs map[core.HostName]uint64
 
 	cancel    context.CancelFunc
 	runDone   chan struct{}
@@ -173,6 +176,7 @@
 
 		changed:      make(chan struct{}),
 		backoffUntil: map[core.HostName]time.Time{},
+		mergedEpochs: map[core.HostName]uint64{},
 	}
 	f.view.Store(&follow.View{})
 	return f
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -122,8 +122,9 @@
 		f.randomAskedAt = now
 	}
 	after, wait := f.state.Position(), relayWait
-	if f.isStale {
-		// Even an answer without changes confirms the content.
+	if epoch, ok := f.mergedEpochs[host.Name]; f.isStale || !ok || epoch != after.Epoch {
+		// Even an answer without changes confirms the content, and has what the daemon keeps from
+		// earlier epochs.
 		wait = 0
 	}
 	f.mu.Unlock()
@@ -177,6 +178,9 @@
 	changes := f.decode(answer.RegistryAnswer)
 	f.update(answer.ContactAge, func(now time.Time) {
 		f.isStale = false
+		if request.Wait == 0 {
+			f.mergedEpochs[host.Name] = answer.Epoch
+		}
 		if request.IsFull {
 			f.state.ApplyListing(now, changes, answer.StorePosition)
 			return
@@ -191,8 +195,11 @@
 func (f *Follower) Follow(ctx context.Context, request core.FollowRequest) (core.FollowAnswer, error) {
 	timer := time.NewTimer(request.Wait)
 	defer timer.Stop()
+	f.mu.Lock()
+	keptChanges := f.state.KeptChanges()
+	f.mu.Unlock()
 	for {
-		answer, changed, err := f.currentAnswer(request)
+		answer, changed, err := f.currentAnswer(request, keptChanges)
 		if err != nil || len(answer.Items) > 0 || request.IsFull || answer.ContactAge < 0 {
 			return answer, err
 		}
@@ -207,8 +214,9 @@
 }
 
 // currentAnswer returns what this daemon knows now, and a channel that is closed at the next
-// change.
-func (f *Follower) currentAnswer(request core.FollowRequest) (core.FollowAnswer, <-chan struct{}, error) {
+// change. What it keeps from earlier epochs follows if the request has no wait, or if it has grown
+// since keptChanges.
+func (f *Follower) currentAnswer(request core.FollowRequest, keptChanges uint64) (core.FollowAnswer, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	after, epoch := request.After.Revision, f.state.Position().Epoch
@@ -221,6 +229,9 @@
 	if !ok || isEarlierEpoch && !request.IsFull {
 		return core.FollowAnswer{}, nil, core.Errorf(core.StoreCompacted, "epoch %d, revision %d is too old", request.After.Epoch, request.After.Revision)
 	}
+	if request.Wait <= 0 || f.state.KeptChanges() > keptChanges {
+		known.Items = append(known.Items, f.state.KeptItems()...)
+	}
 	answer := core.FollowAnswer{
 		RegistryAnswer: known,
 		ContactAge:     f.config.Clock.Now().Sub(f.contactAt),
--- a/io/follow/restore_test.go
+++ b/io/follow/restore_test.go
@@ -276,3 +276,73 @@
 	lists := f.Counters.Lists.Load() - before
 	c.Assert(lists <= int64(time.Second/minWatchGap)+1, qt.IsTrue, qt.Commentf("%d listings", lists))
 }
+
+// TestStartAfterRestoration guards against a daemon that starts between a restoration and the
+// repetition of the operator, and stays on the version of the copy although others know a newer one.
+func TestStartAfterRestoration(t *testing.T) {
+	c := qt.New(t)
+	zone, reader := newVersionedZone(t)
+	for _, store := range zone.stores {
+		store.restore(6)
+	}
+	waitUntil(t, 2*applyDeadline, func() bool {
+		for _, f := range zone.followers {
+			f.mu.Lock()
+			epoch := f.state.Position().Epoch
+			f.mu.Unlock()
+			if epoch != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	var names []core.HostName
+	for name := range zone.followers {
+		if name != reader {
+			names = append(names, name)
+		}
+	}
+	restarted := New(zone.followers[names[0]].config)
+	c.Assert(restarted.Start(t.Context()), qt.IsNil)
+	defer func() { c.Check(restarted.Stop(context.Background()), qt.IsNil) }()
+	waitVersion(t, restarted, 8, applyDeadline)
+	zone.write(9)
+	waitVersion(t, restarted, 9, applyDeadline)
+	zone.waitVersion(t, 9, applyDeadline)
+}
+
+// TestKeptItemsReachParkedRequests guards against daemons that follow one which learns only later what
+// its neighbours keep from the epoch before a restoration.
+func TestKeptItemsReachParkedRequests(t *testing.T) {
+	c := qt.New(t)
+	registry := newVersionedRegistry(2)
+	f := New(Config{
+		Registry: registry,
+		Clock:    kernel.SystemClock{},
+		Journal:  nopJournal{},
+	})
+	listing, err := registry.List(t.Context(), false)
+	c.Assert(err, qt.IsNil)
+	f.applyListing(listing, false)
+	kept := configItem(2, 7)
+	go func() {
+		time.Sleep(100 * time.Millisecond)
+		f.update(0, func(now time.Time) {
+			f.state.ApplyWatch(now, []core.RegistryChange{registry.Decode(kept)}, listing.StorePosition)
+		})
+	}()
+	request := core.FollowRequest{
+		After: listing.StorePosition,
+		Wait:  10 * time.Second,
+	}
+	answer, err := f.Follow(t.Context(), request)
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.Items, qt.DeepEquals, []core.RegistryItem{kept})
+	// The next request is parked, although the item is still kept.
+	request.Wait = 200 * time.Millisecond
+	begin := time.Now()
+	answer, err = f.Follow(t.Context(), request)
+	c.Assert(err, qt.IsNil)
+	c.Assert(answer.Items, qt.HasLen, 0)
+	c.Assert(time.Since(begin) >= request.Wait, qt.IsTrue)
+}
