follow: a pause between listings whose pages are of two epochs

A listing that began before a restoration and ended after it is an error of the kind StoreRestored, after which the store was listed again at once. While listings kept failing like this, nothing slowed them down.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -212,6 +212,7 @@
 
 // run lists the content once and then follows changes. After a failure it continues from the last
 // known revision, or lists again if the store has compacted the changes since then or was restored.
+// The next listing after one with pages of two epochs follows a pause, though the store is not down.
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.runDone)
 	var retry backoff
@@ -251,13 +252,15 @@
 			continue
 		case ctx.Err() != nil:
 			return
-		case core.KindOf(err) == core.StoreCompacted, core.KindOf(err) == core.StoreRestored:
+		case isComplete && (core.KindOf(err) == core.StoreCompacted || core.KindOf(err) == core.StoreRestored):
 			isComplete = false
 			continue
 		case f.takeWatchCanceled():
 			continue
 		}
-		f.markStoreDown(err)
+		if core.KindOf(err) != core.StoreRestored {
+			f.markStoreDown(err)
+		}
 		if retry.next == 0 {
 			retry = f.newBackoff()
 		}
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -35,6 +35,8 @@
 	isCompacted bool
 	// isBusy rejects listings, as over a read rate to which stale reads do not count.
 	isBusy bool
+	// listErr is returned by listings.
+	listErr error
 	// isUnreachable keeps all calls from answering.
 	isUnreachable bool
 	changed       chan struct{}
@@ -140,6 +142,9 @@
 	if r.isBusy {
 		return core.RegistryAnswer{}, core.Errorf(core.StoreBusy, "read rate exceeded")
 	}
+	if r.listErr != nil {
+		return core.RegistryAnswer{}, r.listErr
+	}
 	return core.RegistryAnswer{
 		StorePosition: r.position(),
 		Items:         slices.Clone(r.items),
--- a/io/follow/restore_test.go
+++ b/io/follow/restore_test.go
@@ -346,3 +346,22 @@
 	c.Assert(answer.Items, qt.HasLen, 0)
 	c.Assert(time.Since(begin) >= request.Wait, qt.IsTrue)
 }
+
+// TestListingsOfTwoEpochs guards against calls without a pause to a store whose listings have pages of
+// two epochs.
+func TestListingsOfTwoEpochs(t *testing.T) {
+	c := qt.New(t)
+	registry := newVersionedRegistry(4)
+	f := startFollower(t, registry)
+	waitVersion(t, f, 4, applyDeadline)
+	registry.set(func() { registry.listErr = core.Errorf(core.StoreRestored, "pages of two epochs") })
+	registry.restore(3)
+	before := f.Counters.Lists.Load()
+	time.Sleep(time.Second)
+	lists := f.Counters.Lists.Load() - before
+	// A pause lasts at least half the first backoff.
+	c.Assert(lists <= int64(2*time.Second/firstBackoff)+2, qt.IsTrue, qt.Commentf("%d listings", lists))
+	registry.set(func() { registry.listErr = nil })
+	registry.write(5)
+	waitVersion(t, f, 5, applyDeadline)
+}
