follow: a lone start does not take stale listings of an earlier epoch for an outage

A daemon that knows no other one looks for them by stale reads. A listing of the epoch before a restoration was an error, and the store counted as down, with its event, backoff and grace period.

Such a listing shows that the store answers, as a stale probe does, and is ignored.

--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -35,8 +35,9 @@
 	isCompacted bool
 	// isBusy rejects listings, as over a read rate to which stale reads do not count.
 	isBusy bool
-	// listErr is returned by listings.
-	listErr error
+	// listErr is returned by listings, staleListing by those that may be stale.
+	listErr      error
+	staleListing *core.RegistryAnswer
 	// isUnreachable keeps all calls from answering.
 	isUnreachable bool
 	changed       chan struct{}
@@ -129,7 +130,7 @@
 	r.changed = make(chan struct{})
 }
 
-func (r *fakeRegistry) List(ctx context.Context, _ bool) (core.RegistryAnswer, error) {
+func (r *fakeRegistry) List(ctx context.Context, mayBeStale bool) (core.RegistryAnswer, error) {
 	if err := r.await(ctx); err != nil {
 		return core.RegistryAnswer{}, err
 	}
@@ -145,6 +146,9 @@
 	if r.listErr != nil {
 		return core.RegistryAnswer{}, r.listErr
 	}
+	if mayBeStale && r.staleListing != nil {
+		return *r.staleListing, nil
+	}
 	return core.RegistryAnswer{
 		StorePosition: r.position(),
 		Items:         slices.Clone(r.items),
--- a/io/follow/restore_test.go
+++ b/io/follow/restore_test.go
@@ -365,3 +365,26 @@
 	registry.write(5)
 	waitVersion(t, f, 5, applyDeadline)
 }
+
+// TestLoneStartAfterRestoration guards against a daemon that has just started and takes the store for
+// down because a stale listing is still of the epoch before a restoration.
+func TestLoneStartAfterRestoration(t *testing.T) {
+	c := qt.New(t)
+	registry := newVersionedRegistry(3)
+	earlier, err := registry.List(t.Context(), false)
+	c.Assert(err, qt.IsNil)
+	registry.restore(2)
+	f := New(Config{
+		Registry: registry,
+		Relay:    &testZone{},
+		Clock:    kernel.SystemClock{},
+		Journal:  nopJournal{},
+	})
+	c.Assert(f.Start(t.Context()), qt.IsNil)
+	defer func() { c.Check(f.Stop(context.Background()), qt.IsNil) }()
+	waitUntil(t, applyDeadline, f.hasContent)
+	registry.set(func() { registry.staleListing = &earlier })
+	registry.write(4)
+	waitVersion(t, f, 4, loneStartPeriod+applyDeadline)
+	c.Assert(f.Counters.Failures.Load(), qt.Equals, int64(0))
+}
--- a/io/follow/startup.go
+++ b/io/follow/startup.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+
+	"verbenaway/core"
 )
 
 // isStarting reports whether the daemon has just started, or has just learned of the others. It then
@@ -35,7 +37,8 @@
 	return true
 }
 
-// lookForOthers lists the content again once a stale read shows a change.
+// lookForOthers lists the content again once a stale read shows a change. Either may be of an earlier
+// epoch.
 func (f *Follower) lookForOthers(ctx context.Context) error {
 	pause(ctx, loneReadInterval*3/4+rand.N(loneReadInterval/2))
 	f.Counters.RevisionReads.Add(1)
@@ -50,5 +53,8 @@
 	if !isChanged {
 		return nil
 	}
-	return f.list(ctx, true)
+	if err = f.list(ctx, true); core.KindOf(err) == core.StoreStale {
+		return nil
+	}
+	return err
 }
