follow: a reader that starts after a restoration asks others for a newer version

The first daemon of a region by rank follows no other one. If it starts between a restoration and the operator's repetition, it stays on the version of the copy, lists the store once a second because requests show a newer version, and those that start later follow it.

--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -37,7 +37,8 @@
 // source returns the daemon to follow; ok is false if this daemon is to read the store itself.
 // Most daemons follow the first of their availability zone, which follows the first of the
 // region. A daemon without contact with the store also asks a random one, whatever its rank,
-// because the store may reject the others and serve that one.
+// because the store may reject the others and serve that one. So does a daemon whose listing lacked a
+// version that requests show: others may keep it from before a restoration.
 func (f *Follower) source(now time.Time) (host core.Host, isRandom, ok bool) {
 	zone, region := f.ranks()
 	if host, ok = f.availableSource(now, zone, maxSources); ok {
@@ -47,7 +48,7 @@
 		return host, false, true
 	}
 	f.mu.Lock()
-	mayAskRandom := f.isStoreDown && !now.Before(f.randomAskedAt.Add(shortSourceBackoff))
+	mayAskRandom := (f.isStoreDown || f.isHintUnresolved(now)) && !now.Before(f.randomAskedAt.Add(shortSourceBackoff))
 	f.mu.Unlock()
 	if !mayAskRandom {
 		return core.Host{}, false, false
@@ -122,7 +123,9 @@
 		f.randomAskedAt = now
 	}
 	after, wait := f.state.Position(), relayWait
-	if epoch, ok := f.mergedEpochs[host.Name]; f.isStale || !ok || epoch != after.Epoch {
+	epoch, isMerged := f.mergedEpochs[host.Name]
+	isMerged = isMerged && epoch == after.Epoch
+	if f.isStale || !isMerged || isRandom && f.isHintUnresolved(now) {
 		// Even an answer without changes confirms the content, and has what the daemon keeps from
 		// earlier epochs.
 		wait = 0
--- a/io/follow/restore_test.go
+++ b/io/follow/restore_test.go
@@ -281,7 +281,46 @@
 // repetition of the operator, and stays on the version of the copy although others know a newer one.
 func TestStartAfterRestoration(t *testing.T) {
 	c := qt.New(t)
-	zone, reader := newVersionedZone(t)
+	zone, reader := restoreVersionedZone(t)
+	var names []core.HostName
+	for name := range zone.followers {
+		if name != reader {
+			names = append(names, name)
+		}
+	}
+	restarted := New(zone.followers[names[0]].config)
+	c.Assert(restarted.Start(t.Context()), qt.IsNil)
+	defer func() { c.Check(restarted.Stop(context.Background()), qt.IsNil) }()
+	waitVersion(t, restarted, 8, applyDeadline)
+	zone.write(9)
+	waitVersion(t, restarted, 9, applyDeadline)
+	zone.waitVersion(t, 9, applyDeadline)
+}
+
+// TestReaderStartsAfterRestoration guards against a reader that stays on the version of the copy until
+// the operator repeats a newer one, because it follows no daemon.
+func TestReaderStartsAfterRestoration(t *testing.T) {
+	c := qt.New(t)
+	zone, reader := restoreVersionedZone(t)
+	restarted := New(zone.followers[reader].config)
+	c.Assert(restarted.Start(t.Context()), qt.IsNil)
+	defer func() { c.Check(restarted.Stop(context.Background()), qt.IsNil) }()
+	waitUntil(t, applyDeadline, restarted.IsReady)
+	// The other daemons send requests continuously.
+	waitUntil(t, hintDelay+applyDeadline, func() bool {
+		restarted.ObserveVersion("other", 8)
+		snapshot, _ := restarted.Snapshot()
+		return snapshot.Version == 8
+	})
+	zone.write(9)
+	waitVersion(t, restarted, 9, applyDeadline)
+}
+
+// restoreVersionedZone returns a zone whose daemons keep version 8, though the store was restored from
+// a copy with version 2, and the daemon that reads the store.
+func restoreVersionedZone(t *testing.T) (zone *testZone, reader core.HostName) {
+	t.Helper()
+	zone, reader = newVersionedZone(t)
 	for _, store := range zone.stores {
 		store.restore(6)
 	}
@@ -296,19 +335,7 @@
 		}
 		return true
 	})
-	var names []core.HostName
-	for name := range zone.followers {
-		if name != reader {
-			names = append(names, name)
-		}
-	}
-	restarted := New(zone.followers[names[0]].config)
-	c.Assert(restarted.Start(t.Context()), qt.IsNil)
-	defer func() { c.Check(restarted.Stop(context.Background()), qt.IsNil) }()
-	waitVersion(t, restarted, 8, applyDeadline)
-	zone.write(9)
-	waitVersion(t, restarted, 9, applyDeadline)
-	zone.waitVersion(t, 9, applyDeadline)
+	return zone, reader
 }
 
 // TestKeptItemsReachParkedRequests guards against daemons that follow one which learns only later what
--- a/io/follow/view.go
+++ b/io/follow/view.go
@@ -36,6 +36,14 @@
 	f.requestList()
 }
 
+// isHintUnresolved reports whether requests show a newer version than the store did when it was listed
+// because of them. The caller holds the mutex.
+func (f *Follower) isHintUnresolved(now time.Time) bool {
+	snapshot := f.view.Load().Snapshot
+	return snapshot != nil && f.hintedVersion > snapshot.Version && f.hintListedAt.After(f.hintedAt) &&
+		now.Sub(f.hintListedAt) < 2*minHintListInterval
+}
+
 // Self implements core.MemberView.
 func (f *Follower) Self() core.Host {
 	return f.config.Self
