store: the host list of a restored store is newer than those before

Daemons order host lists of the platform by revision alone. A store that was restored from a copy goes back in revisions and gives them out again, so that its lists were ignored until they passed the known revision.

The store may report an epoch, which increases with each restoration. The client puts it above the 44 bits of the revision and sends both back with the next watch. Nothing else compares revisions of two histories then, and the number fits into the field that daemons already exchange. The list is only a hint about members, so that the older one of the copy is used as it is. The stand-in can go back to an older list. Stores without an epoch are treated as before.

--- a/core/peers.go
+++ b/core/peers.go
@@ -33,7 +33,7 @@
 
 // HostList is the platform's list of hosts, which lags behind the real state.
 type HostList struct {
-	// Revision grows with each change of the list.
+	// Revision grows with each change of the list, also when the store was restored from a copy.
 	Revision uint64 `json:"revision"`
 	Hosts    []Host `json:"hosts"`
 }
--- a/io/fleet/promise_version_test.go
+++ b/io/fleet/promise_version_test.go
@@ -198,6 +198,54 @@
 	}
 }
 
+// TestHostListAfterRestoration guards against daemons that ignore a host list which the platform writes
+// after its store was restored from a copy, because its revision was given out before.
+func TestHostListAfterRestoration(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startFleet(t, fleet.Config{
+		Daemons: 10,
+	}, fleet.BaseNote())
+	_, err := f.AwaitVersion(f.Publish(fleet.RouteNote(600)), 10, inForceBound)
+	c.Assert(err, qt.IsNil)
+	list := core.HostList{
+		Revision: uint64(time.Now().UnixMilli()),
+	}
+	for _, d := range f.Daemons {
+		list.Hosts = append(list.Hosts, d.Self())
+	}
+	f.Store.SetHosts(list)
+	copied := list.Revision
+	list.Revision = 0
+	for range 3 {
+		f.Store.SetHosts(list)
+	}
+	awaitHost(t, f, list, "lost")
+	f.Store.SetFaults(stand.StoreFaults{
+		RollBackHostsTo: copied,
+	})
+	awaitHost(t, f, list, "new")
+}
+
+// awaitHost adds a host to the list of the platform and waits until all daemons know it.
+func awaitHost(t *testing.T, f *fleet.Fleet, list core.HostList, name core.HostName) {
+	t.Helper()
+	extra := f.Daemons[0].Self()
+	extra.Name, extra.PeerAddress = name, "127.0.0.1:1"
+	list.Hosts = append(slices.Clone(list.Hosts), extra)
+	f.Store.SetHosts(list)
+	client := admin.NewClient(time.Second)
+	await(t, inForceBound, "all daemons know "+string(name), func() bool {
+		for _, d := range f.Daemons {
+			hosts, err := client.Hosts(d.Self().AdminAddress)
+			if err != nil || !slices.ContainsFunc(hosts, func(host core.Host) bool { return host.Name == name }) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // invalidNotes are bodies that the fold rejects. Each also contains a valid change.
 var invalidNotes = []struct {
 	kind core.ErrorKind
--- a/io/stand/store.go
+++ b/io/stand/store.go
@@ -217,16 +217,31 @@
 	})
 }
 
+// hostsAnswer is a host list with the number of restorations before it.
+type hostsAnswer struct {
+	core.HostList
+
+	Epoch uint64 `json:"epoch,omitempty"`
+}
+
 func (s *Store) getHosts(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil && r.URL.Query().Get("after") != "" {
 		http.Error(w, "after must be a revision number", http.StatusBadRequest)
 		return
 	}
+	epoch, err := strconv.ParseUint(r.URL.Query().Get("epoch"), 10, 64)
+	if err != nil && r.URL.Query().Get("epoch") != "" {
+		http.Error(w, "epoch must be a number", http.StatusBadRequest)
+		return
+	}
 	s.poll(w, r, func() (any, time.Time) {
 		now := s.clock.Now()
-		if list := s.state.hostsNow(now); list.Revision != after {
-			return list, time.Time{}
+		if list := s.state.hostsNow(now); list.Revision != after || s.state.hostsEpoch != epoch {
+			return hostsAnswer{
+				HostList: list,
+				Epoch:    s.state.hostsEpoch,
+			}, time.Time{}
 		}
 		return nil, s.state.nextHostsTime(now)
 	})
--- a/io/stand/store_test.go
+++ b/io/stand/store_test.go
@@ -271,6 +271,17 @@
 	c.Check(revision(), qt.Equals, uint64(1))
 	clock.advance(time.Second)
 	c.Check(revision(), qt.Equals, uint64(2))
+	store.SetFaults(stand.StoreFaults{
+		RollBackHostsTo: 1,
+	})
+	got := call(client, "GET", server.URL()+"/v1/hosts?after=1", "")
+	c.Check(got.status, qt.Equals, http.StatusOK)
+	c.Check(got.body, qt.Contains, `"revision":1`)
+	c.Check(got.body, qt.Contains, `"epoch":1`)
+	c.Check(call(client, "GET", server.URL()+"/v1/hosts?after=1&epoch=1", "").status, qt.Equals, http.StatusNoContent)
+	store.SetHosts(core.HostList{})
+	clock.advance(10 * time.Second)
+	c.Check(revision(), qt.Equals, uint64(2))
 }
 
 // TestStoreSeed guards against seed files under wrong keys, and against accepting bad file names.
--- a/io/stand/storefault.go
+++ b/io/stand/storefault.go
@@ -10,7 +10,7 @@
 )
 
 // StoreFaults are the faults that a store stand-in injects. The zero value means no fault. Each
-// POST replaces all faults; RollBackTo and RollBackAll act once and cannot be undone.
+// POST replaces all faults; RollBackTo, RollBackAll and RollBackHostsTo act once and cannot be undone.
 type StoreFaults struct {
 	// Down answers every call with 503, including parked ones.
 	Down bool `json:"down"`
@@ -25,6 +25,9 @@
 	// version 0.
 	RollBackTo  core.Version `json:"rollBackTo"`
 	RollBackAll bool         `json:"allNotes"`
+	// RollBackHostsTo removes all host lists after this revision, as a restoration from a copy does;
+	// the epoch of the host list increases.
+	RollBackHostsTo uint64 `json:"rollBackHostsTo"`
 	// ForkAt shows other bytes for the note with this number: ForkValue, or by default the note
 	// with one more tenant.
 	ForkAt    core.Version `json:"forkAt"`
@@ -46,6 +49,9 @@
 	if faults.RollBackTo > 0 || faults.RollBackAll {
 		s.state.rollBack(faults.RollBackTo)
 	}
+	if faults.RollBackHostsTo > 0 {
+		s.state.rollBackHosts(faults.RollBackHostsTo)
+	}
 	if faults.StaleBy > 0 {
 		asOf := s.state.head - min(s.state.head, faults.StaleBy)
 		s.asOf = &asOf
--- a/io/stand/storestate.go
+++ b/io/stand/storestate.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -44,6 +45,8 @@
 	values map[string][]storedValue
 	head   core.Version // version of the newest note
 	hosts  []hostListEntry
+	// hostsEpoch increases with each rollBackHosts.
+	hostsEpoch uint64
 }
 
 // hostListEntry is one host list with the time from which readers see it.
@@ -120,6 +123,14 @@
 	s.head = min(s.head, to)
 }
 
+// rollBackHosts removes all host lists after a revision.
+func (s *storeState) rollBackHosts(to uint64) {
+	s.hosts = slices.DeleteFunc(s.hosts, func(entry hostListEntry) bool {
+		return entry.list.Revision > to
+	})
+	s.hostsEpoch++
+}
+
 // putHosts adds a host list; revision 0 means the number after the newest revision.
 func (s *storeState) putHosts(list core.HostList, visible time.Time) {
 	if list.Revision == 0 {
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -72,23 +72,43 @@
 	return values, nil
 }
 
+// revisionBits is the number of low bits of core.HostList.Revision that hold the revision of the store.
+// The bits above hold the epoch, so that all daemons order lists by epoch and revision.
+const revisionBits = 44
+
 type hostsQuery struct {
 	After  uint64 `url:"after"`
+	Epoch  uint64 `url:"epoch,omitempty"`
 	WaitMs int64  `url:"waitMs"`
 }
 
+type hostsAnswer struct {
+	core.HostList
+
+	// Epoch increases each time the store is restored from a copy, which has a lower revision. Stores
+	// without restorations may omit it.
+	Epoch uint64 `json:"epoch"`
+}
+
 // Hosts implements core.Store.
 func (c *Client) Hosts(ctx context.Context, after uint64, wait time.Duration) (list core.HostList, ok bool, err error) {
 	query := &hostsQuery{
-		After:  after,
+		After:  after & (1<<revisionBits - 1),
+		Epoch:  after >> revisionBits,
 		WaitMs: wait.Milliseconds(),
 	}
 	answer, err := c.Get(ctx, "/v1/hosts", query, wait)
 	if err != nil || answer.Status == http.StatusNoContent {
 		return core.HostList{}, false, err
 	}
-	if err = json.Unmarshal(answer.Body, &list); err != nil {
+	var decoded hostsAnswer
+	if err = json.Unmarshal(answer.Body, &decoded); err != nil {
 		return core.HostList{}, false, core.Errorf(core.StoreMalformed, "host list: %v", err)
 	}
+	if decoded.Revision>>revisionBits > 0 || decoded.Epoch>>(64-revisionBits) > 0 {
+		return core.HostList{}, false, core.Errorf(core.StoreMalformed, "host list: epoch %d or revision %d is too high", decoded.Epoch, decoded.Revision)
+	}
+	list = decoded.HostList
+	list.Revision |= decoded.Epoch << revisionBits
 	return list, true, nil
 }
