follow: daemons without epoch are asked less often during a rolling upgrade

Daemons of earlier releases send no epoch, so that their revisions may be of a history that the store has lost and new daemons do not follow them. They were asked every 0.5 s, and the parked watch of the store was ended each time.

An answer without epoch, or one that cannot be decoded, now leads to a pause of 20 s before the same daemon is asked again; changes arrive by the watch.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -45,6 +45,10 @@
 	// latter is also the minimum time between requests to random daemons.
 	sourceBackoff      = 2 * time.Second
 	shortSourceBackoff = 500 * time.Millisecond
+	// incompatibleBackoff is how long a daemon is not asked again whose answers are malformed or lack
+	// the epoch of the store, as those of earlier releases do. A watch of the store ends when there is
+	// a daemon to ask.
+	incompatibleBackoff = 20 * time.Second
 	// maxSources bounds the daemons of the zone that are asked before the store is.
 	maxSources = 2
 	// firstBackoff and maxBackoff are the first and the longest backoff after failed calls; a pause
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -151,9 +151,12 @@
 		pause(ctx, startupRetryInterval)
 		return true
 	}
-	delay := sourceBackoff
-	if core.KindOf(err) != core.PeerUnreachable {
-		delay = shortSourceBackoff
+	delay := shortSourceBackoff
+	switch core.KindOf(err) {
+	case core.PeerUnreachable:
+		delay = sourceBackoff
+	case core.PeerMalformed:
+		delay = incompatibleBackoff
 	}
 	f.mu.Lock()
 	f.backoffUntil[host.Name] = f.config.Clock.Now().Add(delay)
@@ -171,6 +174,9 @@
 	switch {
 	case err != nil:
 		return err
+	case answer.Epoch == 0 && request.After.Epoch > 0:
+		// Its revisions may be of a history that the store has lost.
+		return core.Errorf(core.PeerMalformed, "%s sends no epoch", host.Name)
 	case answer.ContactAge < 0 || answer.ContactAge >= maxContactAge:
 		return core.Errorf(core.StoreDown, "%s has no contact with the store", host.Name)
 	case request.After.IsAfter(answer.StorePosition):
--- a/io/follow/relay_test.go
+++ b/io/follow/relay_test.go
@@ -27,6 +27,8 @@
 	stores    map[core.HostName]*fakeRegistry
 	// unreachable holds daemons that answer no requests.
 	unreachable map[core.HostName]bool
+	// hasNoEpochs removes the epoch from answers, as daemons of earlier releases do not send it.
+	hasNoEpochs bool
 }
 
 func newTestZone(t *testing.T, names ...core.HostName) *testZone {
@@ -76,13 +78,17 @@
 // Follow implements core.RelayClient.
 func (z *testZone) Follow(ctx context.Context, address string, request core.FollowRequest) (core.FollowAnswer, error) {
 	z.mu.Lock()
-	isUnreachable := z.unreachable[core.HostName(address)]
+	isUnreachable, hasNoEpochs := z.unreachable[core.HostName(address)], z.hasNoEpochs
 	z.mu.Unlock()
 	if isUnreachable {
 		<-ctx.Done()
 		return core.FollowAnswer{}, ctx.Err()
 	}
-	return z.followers[core.HostName(address)].Follow(ctx, request)
+	answer, err := z.followers[core.HostName(address)].Follow(ctx, request)
+	if hasNoEpochs {
+		answer.Epoch = 0
+	}
+	return answer, err
 }
 
 // register adds an upstream to the stores of all daemons.
--- a/io/follow/restore_test.go
+++ b/io/follow/restore_test.go
@@ -415,3 +415,21 @@
 	waitVersion(t, f, 4, loneStartPeriod+applyDeadline)
 	c.Assert(f.Counters.Failures.Load(), qt.Equals, int64(0))
 }
+
+// TestRollingUpgrade guards against frequent calls to the store by daemons whose neighbours, of an
+// earlier release, do not send the epoch and cannot be followed.
+func TestRollingUpgrade(t *testing.T) {
+	c := qt.New(t)
+	zone, _ := restoreVersionedZone(t)
+	zone.mu.Lock()
+	zone.hasNoEpochs = true
+	zone.mu.Unlock()
+	waitUntil(t, applyDeadline, func() bool { return len(zone.readers()) == len(zone.followers) })
+	before := zone.watches("")
+	time.Sleep(4 * time.Second)
+	watches := zone.watches("") - before
+	// A parked watch does not end in this time.
+	c.Assert(watches <= len(zone.followers), qt.IsTrue, qt.Commentf("%d watches", watches))
+	zone.write(9)
+	zone.waitVersion(t, 9, applyDeadline)
+}
