follow: a daemon asks others for a full period after it has learned of them

What was seen: TestWholeSystemStarts failed in 1 of 60 runs beside load ("21 watches by 20 daemons").

Cause, by a trace of each listing, watch and request: a daemon that starts before any upstream has registered looks for others every 300 to 500 ms. The 500 ms for which it then asks them instead of the store counted from before this pause, so that 0 to 200 ms were left when it learned of them, and none if the pause took longer than planned. The one that all others ask learns of itself up to 500 ms after the first of them. Meanwhile they confirmed their content by a watch each.

Ruled out: a watch canceled for another daemon, and repeated confirming watches. No daemon of the traces had either.

Change: the period counts from the end of the listing that may show others, and lasts the longest interval between two looks more, which is how much later others learn of the same registration.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -73,10 +73,12 @@
 	// its content at the store; daemons that start together are all up within it.
 	startupPeriod = 500 * time.Millisecond
 	// loneStartPeriod is how long a daemon that has just started and knows no other one of its
-	// region looks for them by stale reads, every loneReadInterval. When the whole system starts,
-	// the upstreams register within it; without it, every daemon would watch the store meanwhile.
-	loneStartPeriod  = 2 * time.Second
-	loneReadInterval = 400 * time.Millisecond
+	// region looks for them by stale reads, at random intervals. When the whole system starts, the
+	// upstreams register within it; without it, every daemon would watch the store meanwhile.
+	// Daemons learn of the same upstream up to maxLookInterval apart.
+	loneStartPeriod = 2 * time.Second
+	minLookInterval = 300 * time.Millisecond
+	maxLookInterval = 500 * time.Millisecond
 	// startupRetryInterval is the pause between its requests while the daemons that it asks do
 	// not listen yet.
 	startupRetryInterval = 80 * time.Millisecond
@@ -139,8 +141,9 @@
 	seenPosition    core.StorePosition
 	watchAnsweredAt time.Time
 	startedAt       time.Time
-	// loneAt is when this daemon, still starting, last knew no other one of its region.
-	loneAt time.Time
+	// lookedAt is when this daemon, still starting, last listed the content to find others of its
+	// region, zero if it knew some from the beginning.
+	lookedAt time.Time
 	// hintedVersion is a newer version that requests have shown since hintedAt, 0 if none.
 	hintedVersion core.Version
 	hintedAt      time.Time
--- a/io/follow/follower_test.go
+++ b/io/follow/follower_test.go
@@ -196,10 +196,15 @@
 }
 
 func (r *fakeRegistry) Watch(ctx context.Context, after uint64, wait time.Duration) (core.RegistryAnswer, error) {
-	deadline := time.After(wait)
 	r.mu.Lock()
 	r.watches++
 	r.mu.Unlock()
+	return r.watch(ctx, after, wait)
+}
+
+// watch is a Watch that is not counted.
+func (r *fakeRegistry) watch(ctx context.Context, after uint64, wait time.Duration) (core.RegistryAnswer, error) {
+	deadline := time.After(wait)
 	for {
 		r.mu.Lock()
 		isUnresponsive := r.isUnresponsive || r.isUnreachable
--- a/io/follow/startup.go
+++ b/io/follow/startup.go
@@ -13,17 +13,16 @@
 func (f *Follower) isStarting() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	since := f.startedAt
-	if f.loneAt.After(since) {
-		since = f.loneAt
+	end := f.startedAt.Add(startupPeriod)
+	if !f.lookedAt.IsZero() {
+		end = f.lookedAt.Add(maxLookInterval + startupPeriod)
 	}
-	return !f.ready.Load() && f.config.Clock.Now().Sub(since) < startupPeriod
+	return !f.ready.Load() && f.config.Clock.Now().Before(end)
 }
 
 // isLoneStart reports whether the daemon has just started and knows no other one of its region.
 func (f *Follower) isLoneStart() bool {
-	now := f.config.Clock.Now()
-	if f.config.Relay == nil || f.ready.Load() || now.Sub(f.startedAt) >= loneStartPeriod {
+	if f.config.Relay == nil || f.ready.Load() || f.config.Clock.Now().Sub(f.startedAt) >= loneStartPeriod {
 		return false
 	}
 	for _, member := range f.view.Load().ByName {
@@ -31,16 +30,13 @@
 			return false
 		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.loneAt = now
 	return true
 }
 
 // lookForOthers lists the content again once a stale read shows a change. Either may be of an earlier
 // epoch.
 func (f *Follower) lookForOthers(ctx context.Context) error {
-	pause(ctx, loneReadInterval*3/4+rand.N(loneReadInterval/2))
+	pause(ctx, minLookInterval+rand.N(maxLookInterval-minLookInterval))
 	f.Counters.RevisionReads.Add(1)
 	position, err := f.config.Registry.Position(ctx, true)
 	if err != nil {
@@ -53,7 +49,11 @@
 	if !isChanged {
 		return nil
 	}
-	if err = f.list(ctx, true); core.KindOf(err) == core.StoreStale {
+	err = f.list(ctx, true)
+	f.mu.Lock()
+	f.lookedAt = f.config.Clock.Now()
+	f.mu.Unlock()
+	if core.KindOf(err) == core.StoreStale {
 		return nil
 	}
 	return err
