follow: a daemon asks others again before its next watch

What was seen: in TestWholeSystemStarts, beside load, daemons watched the store twice ("21 watches by 20 daemons").

Cause, by the same traces: a daemon that the others have not given an answer with contact confirms its content by a watch. Those that it asked are in a backoff of 500 ms, but its next watch begins 450 ms after the answer; meanwhile it asks nobody, even if the wait is longer. So each daemon that watched once watched twice. This also happens outside a start, each time a daemon has watched because the one that it follows had no contact, and a change answers the watch. At a low read rate the wait is seconds, in which no change is learned from others that are back.

Change: the wait before a watch ends when the backoff of another daemon ends, and this one is asked first. One that had no contact before the last watch is always asked before the next. The check of the test stays as it was: at most one watch by each daemon.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -249,6 +249,8 @@
 			err = f.listAll(ctx)
 		case f.isLoneStart():
 			err = f.lookForOthers(ctx)
+		case !f.awaitWatch(ctx):
+			continue
 		default:
 			err = f.watch(ctx)
 		}
--- a/io/follow/read.go
+++ b/io/follow/read.go
@@ -33,13 +33,25 @@
 	return nil
 }
 
+// awaitWatch waits until the next watch may begin. It returns false earlier if another daemon can be
+// asked again, which may make the watch unnecessary. One that had no contact with the store before
+// the last watch is asked before the next one.
+func (f *Follower) awaitWatch(ctx context.Context) bool {
+	now := f.config.Clock.Now()
+	f.mu.Lock()
+	gap, answeredAt, sourceAt := f.watchGap(), f.watchAnsweredAt, f.nextSourceAt(now)
+	f.mu.Unlock()
+	if sourceAt.IsZero() || sourceAt.After(answeredAt.Add(max(gap, shortSourceBackoff))) {
+		pause(ctx, answeredAt.Add(gap).Sub(now))
+		return true
+	}
+	pause(ctx, sourceAt.Sub(now))
+	return false
+}
+
 // watch asks the store for the next changes. It waits only briefly for them while the content has
 // to be confirmed.
 func (f *Follower) watch(ctx context.Context) error {
-	f.mu.Lock()
-	gap := f.watchGap() - f.config.Clock.Now().Sub(f.watchAnsweredAt)
-	f.mu.Unlock()
-	pause(ctx, gap)
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mu.Lock()
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -107,6 +107,18 @@
 	return core.Host{}, false
 }
 
+// nextSourceAt returns when the first of the backoffs of other daemons ends, zero if there is none. The
+// caller holds the mutex.
+func (f *Follower) nextSourceAt(now time.Time) time.Time {
+	var next time.Time
+	for _, until := range f.backoffUntil {
+		if until.After(now) && (next.IsZero() || until.Before(next)) {
+			next = until
+		}
+	}
+	return next
+}
+
 // followRelay asks another daemon of the region for changes. It returns false if the store is to
 // be read instead.
 func (f *Follower) followRelay(ctx context.Context) bool {
