follow: the first upstream to register confirms its content at once

What was seen: in traces of TestWholeSystemStarts, all daemons asked the first upstream that had registered, which had no contact with the store itself.

Cause: a daemon that knows only its own registration counts as alone for the two seconds after its start and reads stale revisions, although it is the one that all others of its region ask. They wait for it and then watch the store themselves. If the others register more than a second later, every daemon of the region watches.

Change: a starting daemon is alone only while it knows no daemon of its region, itself included. This holds for one daemon of each region, the first to register. A region with a single daemon is ready without the delay.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -72,10 +72,10 @@
 	// startupPeriod is how long a daemon that has just started asks others before it confirms
 	// its content at the store; daemons that start together are all up within it.
 	startupPeriod = 500 * time.Millisecond
-	// loneStartPeriod is how long a daemon that has just started and knows no other one of its
-	// region looks for them by stale reads, at random intervals. When the whole system starts, the
-	// upstreams register within it; without it, every daemon would watch the store meanwhile.
-	// Daemons learn of the same upstream up to maxLookInterval apart.
+	// loneStartPeriod is how long a daemon that has just started and knows none of its region looks
+	// for others by stale reads, at random intervals. When the whole system starts, the upstreams
+	// register within it; without it, every daemon would watch the store meanwhile. Daemons learn of
+	// the same upstream up to maxLookInterval apart.
 	loneStartPeriod = 2 * time.Second
 	minLookInterval = 300 * time.Millisecond
 	maxLookInterval = 500 * time.Millisecond
--- a/io/follow/startup.go
+++ b/io/follow/startup.go
@@ -20,13 +20,14 @@
 	return !f.ready.Load() && f.config.Clock.Now().Before(end)
 }
 
-// isLoneStart reports whether the daemon has just started and knows no other one of its region.
+// isLoneStart reports whether the daemon has just started and knows no daemon of its region that could
+// confirm content for the others. The first one to register does that itself.
 func (f *Follower) isLoneStart() bool {
 	if f.config.Relay == nil || f.ready.Load() || f.config.Clock.Now().Sub(f.startedAt) >= loneStartPeriod {
 		return false
 	}
 	for _, member := range f.view.Load().ByName {
-		if member.Host.Region == f.config.Self.Region && member.Host.Name != f.config.Self.Name {
+		if member.Host.Region == f.config.Self.Region {
 			return false
 		}
 	}
--- a/io/follow/startup_test.go
+++ b/io/follow/startup_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"verbenaway/core"
+	"verbenaway/io/kernel"
 )
 
 // fakeClock is a clock that the test sets.
@@ -74,3 +75,46 @@
 	clock.advance(startupPeriod)
 	c.Assert(f.isStarting(), qt.IsFalse)
 }
+
+// TestLoneStart guards against a first upstream that does not confirm its content while all others
+// of its region ask it.
+func TestLoneStart(t *testing.T) {
+	cases := []struct {
+		name       string
+		registered []core.HostName
+		isLone     bool
+	}{
+		{
+			name:   "none",
+			isLone: true,
+		},
+		{
+			name:       "itself",
+			registered: []core.HostName{ownHost},
+		},
+		{
+			name:       "another one",
+			registered: []core.HostName{firstHost},
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			registry := newFakeRegistry()
+			registry.write(1)
+			for _, name := range tc.registered {
+				registry.register(name)
+			}
+			f := New(Config{
+				Self:     newOwnHost(),
+				Registry: registry,
+				Relay:    &fakeSource{},
+				Clock:    kernel.SystemClock{},
+				Journal:  nopJournal{},
+			})
+			f.startedAt = time.Now()
+			c.Assert(f.listAll(t.Context()), qt.IsNil)
+			c.Assert(f.isLoneStart(), qt.Equals, tc.isLone)
+		})
+	}
+}
