follow: a watch is canceled for another daemon only once that one has answered

What was seen: while tracing repeated watches at a start, daemons also watched again and again while the one that they follow stayed away.

Cause: a daemon that reads the store itself cancels its watch as soon as the backoff of another daemon has ended, to ask that one. If it still has no contact or does not answer, the daemon watches again: about 1.3 times a second without contact, every two seconds without an answer, for as long as it lasts. Meanwhile no watch is parked. With the first two of a zone cut off from the store, each of the others does this.

Change: the other daemon is asked first, beside the parked watch, and its answer is applied; the watch is canceled if it has contact, or asks for a full request. If not, its backoff starts again and the revision is read as usual.

Measured: TestWatchIsKept fails before (5 of 5 runs; 2 and 4 watches in 4 s) and passes after (3 of 3).

--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -163,6 +163,13 @@
 		pause(ctx, startupRetryInterval)
 		return true
 	}
+	f.backOff(host.Name, err)
+	// The next candidate, or else the store, is asked without a pause.
+	return f.followRelay(ctx)
+}
+
+// backOff keeps a daemon from being asked for a while after an error.
+func (f *Follower) backOff(name core.HostName, err error) {
 	delay := shortSourceBackoff
 	switch core.KindOf(err) {
 	case core.PeerUnreachable:
@@ -171,10 +178,8 @@
 		delay = incompatibleBackoff
 	}
 	f.mu.Lock()
-	f.backoffUntil[host.Name] = f.config.Clock.Now().Add(delay)
-	f.mu.Unlock()
-	// The next candidate, or else the store, is asked without a pause.
-	return f.followRelay(ctx)
+	defer f.mu.Unlock()
+	f.backoffUntil[name] = f.config.Clock.Now().Add(delay)
 }
 
 // followHost asks a daemon once and applies its answer.
--- a/io/follow/revision.go
+++ b/io/follow/revision.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"time"
 
 	"verbenaway/core"
 )
@@ -19,7 +18,7 @@
 		if !isWatching || ctx.Err() != nil || f.hasFreshAnswer() {
 			continue
 		}
-		if f.cancelWatchForSource(f.config.Clock.Now()) {
+		if f.cancelWatchForSource(ctx) {
 			continue
 		}
 		mayBeStale := staleReads < staleRevisionReads
@@ -54,12 +53,28 @@
 	return f.watchNumber, f.cancelWatch != nil
 }
 
-// cancelWatchForSource cancels the watch of the store if there is a daemon to follow again.
-func (f *Follower) cancelWatchForSource(now time.Time) bool {
+// cancelWatchForSource cancels the watch of the store once another daemon to follow has answered. A
+// watch canceled for one that does not answer would have to be started again, which costs a call.
+func (f *Follower) cancelWatchForSource(ctx context.Context) bool {
 	if f.config.Relay == nil {
 		return false
 	}
-	if _, _, ok := f.source(now); !ok {
+	now := f.config.Clock.Now()
+	host, isRandom, ok := f.source(now)
+	if !ok {
+		return false
+	}
+	f.mu.Lock()
+	if isRandom {
+		f.randomAskedAt = now
+	}
+	after := f.state.Position()
+	f.mu.Unlock()
+	err := f.followHost(ctx, host, core.FollowRequest{
+		After: after,
+	})
+	if err != nil && core.KindOf(err) != core.StoreCompacted {
+		f.backOff(host.Name, err)
 		return false
 	}
 	f.mu.Lock()
--- a/io/follow/source_test.go
+++ b/io/follow/source_test.go
@@ -16,11 +16,17 @@
 // fakeSource is a daemon of the same zone that answers requests from a store.
 type fakeSource struct {
 	registry *fakeRegistry
-	// isCutOff says that the daemon has no contact with the store.
-	isCutOff atomic.Bool
+	// isCutOff says that the daemon has no contact with the store, isUnreachable that it does not
+	// answer.
+	isCutOff      atomic.Bool
+	isUnreachable atomic.Bool
 }
 
 func (s *fakeSource) Follow(ctx context.Context, _ string, request core.FollowRequest) (core.FollowAnswer, error) {
+	if s.isUnreachable.Load() {
+		<-ctx.Done()
+		return core.FollowAnswer{}, core.Errorf(core.PeerUnreachable, "no answer")
+	}
 	// The daemon answers in time even if the test process is stopped for a while.
 	watched, err := s.registry.watch(context.WithoutCancel(ctx), request.After.Revision, request.Wait)
 	answer := core.FollowAnswer{
@@ -112,3 +118,42 @@
 		})
 	}
 }
+
+// TestWatchIsKept guards against a watch that each daemon cancels and starts again, about once a second,
+// for as long as the one that it follows cannot be followed, as when a region has lost its reader.
+func TestWatchIsKept(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(*fakeSource) *atomic.Bool
+	}{
+		{
+			name:  "no contact",
+			fault: func(s *fakeSource) *atomic.Bool { return &s.isCutOff },
+		},
+		{
+			name:  "unreachable",
+			fault: func(s *fakeSource) *atomic.Bool { return &s.isUnreachable },
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			source := &fakeSource{
+				registry: newFakeRegistry(),
+			}
+			f := startWithSource(t, source, 0)
+			tc.fault(source).Store(true)
+			waitUntil(t, applyDeadline, func() bool { return f.Counters.Watches.Load() == 1 })
+			time.Sleep(2 * sourceBackoff)
+			c.Assert(f.Counters.Watches.Load(), qt.Equals, int64(1))
+			tc.fault(source).Store(false)
+			waitUntil(t, sourceBackoff+applyDeadline, func() bool {
+				_, isWatching := f.currentWatch()
+				return !isWatching
+			})
+			source.registry.write(2)
+			waitVersion(t, f, 2, applyDeadline)
+			c.Assert(f.Counters.Watches.Load(), qt.Equals, int64(1))
+		})
+	}
+}
