fleet: the test of restored host lists starts its fleet alone

Cause: the test started one more fleet of ten daemons beside six others. Change: it does not run in parallel; its checks are the same.

--- a/io/fleet/promise_version_test.go
+++ b/io/fleet/promise_version_test.go
@@ -201,7 +201,6 @@
 // TestHostListAfterRestoration guards against daemons that ignore a host list which the platform writes
 // after its store was restored from a copy, because its revision was given out before.
 func TestHostListAfterRestoration(t *testing.T) {
-	t.Parallel()
 	c := qt.New(t)
 	f := startFleet(t, fleet.Config{
 		Daemons: 10,
