follow, relay, store: failed sources and silent watches are logged

Logs and metrics could not tell why a daemon hears of no change for seconds: an answer of another daemon that begins late, one that takes long, a source in backoff, or a watch of the store that is canceled.

--- a/core/event.go
+++ b/core/event.go
@@ -49,6 +49,8 @@
 	EventStoreFailed    EventKind = "storeFailed"
 	EventStoreRecovered EventKind = "storeRecovered"
 	EventStoreRestored  EventKind = "storeRestored"
+	EventSourceFailed   EventKind = "sourceFailed"
+	EventWatchSilent    EventKind = "watchSilent"
 	EventValueRefused   EventKind = "valueRefused"
 	EventSettingsRead   EventKind = "settingsRead"
 	EventServerFailed   EventKind = "serverFailed"
@@ -82,6 +84,8 @@
 	{Kind: EventStoreFailed, Meaning: "The store stopped answering this reader."},
 	{Kind: EventStoreRecovered, Meaning: "The store answers this reader again."},
 	{Kind: EventStoreRestored, Meaning: "The store was restored from a copy and may have lost its newest changes."},
+	{Kind: EventSourceFailed, Meaning: "A daemon that this one follows gave no usable answer, and another one or the store is asked."},
+	{Kind: EventWatchSilent, Meaning: "The watch of the store did not deliver a change that a read has shown, and the content is listed."},
 	{Kind: EventValueRefused, Meaning: "A value of the store cannot be decoded and is not used."},
 	{Kind: EventSettingsRead, Meaning: "The settings file was read again."},
 	{Kind: EventServerFailed, Meaning: "The daemon no longer accepts connections on one of its addresses."},
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -109,6 +109,8 @@
 	Watches        atomic.Int64
 	FollowRequests atomic.Int64
 	Failures       atomic.Int64
+	// SourceFailures are requests to other daemons without a usable answer.
+	SourceFailures atomic.Int64
 	// OlderChanges are those that were not applied because of their revision, although they differ
 	// from what is known.
 	OlderChanges atomic.Int64
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"verbenaway/core"
+	"verbenaway/core/follow"
 )
 
 // rankedHosts returns the hosts of the members that are candidates, ordered by a hash of their
@@ -163,13 +165,13 @@
 		pause(ctx, startupRetryInterval)
 		return true
 	}
-	f.backOff(host.Name, err)
+	f.backOff(host.Name, now, err)
 	// The next candidate, or else the store, is asked without a pause.
 	return f.followRelay(ctx)
 }
 
 // backOff keeps a daemon from being asked for a while after an error.
-func (f *Follower) backOff(name core.HostName, err error) {
+func (f *Follower) backOff(name core.HostName, askedAt time.Time, err error) {
 	delay := shortSourceBackoff
 	switch core.KindOf(err) {
 	case core.PeerUnreachable:
@@ -177,9 +179,16 @@
 	case core.PeerMalformed:
 		delay = incompatibleBackoff
 	}
+	failedAt := f.config.Clock.Now()
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.backoffUntil[name] = f.config.Clock.Now().Add(delay)
+	f.backoffUntil[name] = failedAt.Add(delay)
+	f.mu.Unlock()
+	f.Counters.SourceFailures.Add(1)
+	f.record(follow.Event{
+		Kind:    core.EventSourceFailed,
+		Subject: string(name),
+		Detail:  fmt.Sprintf("asked %v ago and not again for %v: %v", failedAt.Sub(askedAt).Round(time.Millisecond), delay, err),
+	})
 }
 
 // followHost asks a daemon once and applies its answer.
--- a/io/follow/revision.go
+++ b/io/follow/revision.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 
 	"verbenaway/core"
+	"verbenaway/core/follow"
 )
 
 // checkRevisions periodically reads the revision of the store while this daemon watches the store.
@@ -74,7 +76,7 @@
 		After: after,
 	})
 	if err != nil && core.KindOf(err) != core.StoreCompacted {
-		f.backOff(host.Name, err)
+		f.backOff(host.Name, now, err)
 		return false
 	}
 	f.mu.Lock()
@@ -143,6 +145,11 @@
 	if !f.isMissing(watch, position) {
 		return
 	}
+	f.record(follow.Event{
+		Kind:     core.EventWatchSilent,
+		Revision: position.Revision,
+		Detail:   fmt.Sprintf("not delivered after %v", deliveryTime),
+	})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.requestList()
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -54,6 +56,10 @@
 
 // Follow implements core.RelayClient.
 func (c *Client) Follow(ctx context.Context, address string, request core.FollowRequest) (core.FollowAnswer, error) {
+	sentAt, begun := time.Now(), atomic.Int64{}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotFirstResponseByte: func() { begun.Store(int64(time.Since(sentAt))) },
+	})
 	response, err := c.client(address).Follow(ctx, connect.NewRequest(&wire.FollowRequest{
 		Epoch:  request.After.Epoch,
 		After:  request.After.Revision,
@@ -66,7 +72,11 @@
 	case connect.CodeOf(err) == connect.CodeOutOfRange:
 		return core.FollowAnswer{}, core.Errorf(core.StoreCompacted, "%s: %v", address, err)
 	}
-	return core.FollowAnswer{}, core.Errorf(core.PeerUnreachable, "%s: %v", address, err)
+	progress := "no answer begun"
+	if after := time.Duration(begun.Load()); after > 0 {
+		progress = "answer begun after " + after.Round(time.Millisecond).String()
+	}
+	return core.FollowAnswer{}, core.Errorf(core.PeerUnreachable, "%s: %v, %s", address, err, progress)
 }
 
 // client returns the client for an address.
--- a/io/store/fetcher.go
+++ b/io/store/fetcher.go
@@ -77,7 +77,7 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
-		return Answer{}, core.Errorf(core.StoreDown, "%s: %v", path, err)
+		return Answer{}, core.Errorf(core.StoreDown, "%s: %v after %d bytes of the answer", path, err, len(body))
 	}
 	switch {
 	case len(body) > maxAnswerBytes:
