follow, store, pace: a large answer of the store is not given up while it arrives

Cause: fixed times for answers whose size varies. A read that shows a newer position made the reader cancel a watch 150 ms later, also when most of its answer had arrived, and list the same content; listings had 800 ms in all.

Change: calls are bounded by the progress of their answers: time until it begins, time without another byte, total. A watch whose answer is arriving counts as served, and neither a version in requests nor a source that can be asked again cancels it.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -9,6 +9,7 @@
 
 	"verbenaway/core"
 	"verbenaway/core/follow"
+	"verbenaway/io/pace"
 )
 
 const (
@@ -153,8 +154,10 @@
 	hintListedAt time.Time
 	// cancelWatch ends the current watch of the store; nil while there is none. watchNumber
 	// increases with each watch.
-	cancelWatch     context.CancelFunc
-	watchNumber     uint64
+	cancelWatch context.CancelFunc
+	watchNumber uint64
+	// watchCall is the call of the last watch.
+	watchCall       *pace.Call
 	isListRequested bool
 	// isRewatchRequested is set when the current watch is canceled because it seems unresponsive
 	// or another daemon can be followed.
--- a/io/follow/read.go
+++ b/io/follow/read.go
@@ -8,6 +8,7 @@
 
 	"verbenaway/core"
 	"verbenaway/core/follow"
+	"verbenaway/io/pace"
 )
 
 // listAll reads the whole content. The first listing may be stale, as the next call continues from
@@ -54,8 +55,9 @@
 func (f *Follower) watch(ctx context.Context) error {
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	watchCtx, call := pace.Track(watchCtx)
 	f.mu.Lock()
-	f.cancelWatch = cancel
+	f.cancelWatch, f.watchCall = cancel, call
 	f.watchNumber++
 	after := f.state.Position().Revision
 	wait := f.config.WatchWait
--- a/io/follow/revision.go
+++ b/io/follow/revision.go
@@ -55,8 +55,9 @@
 	return f.watchNumber, f.cancelWatch != nil
 }
 
-// cancelWatchForSource cancels the watch of the store once another daemon to follow has answered. A
-// watch canceled for one that does not answer would have to be started again, which costs a call.
+// cancelWatchForSource cancels the watch of the store once another daemon to follow has answered, unless
+// the answer of the store is arriving. A watch canceled for a daemon that does not answer would have to
+// be started again, which costs a call.
 func (f *Follower) cancelWatchForSource(ctx context.Context) bool {
 	if f.config.Relay == nil {
 		return false
@@ -81,7 +82,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cancelWatch == nil {
+	if f.cancelWatch == nil || f.watchCall.IsBegun() {
 		return false
 	}
 	f.isRewatchRequested = true
@@ -132,11 +133,13 @@
 	}
 }
 
-// isMissing reports whether a watch is still parked although the store has a newer position.
+// isMissing reports whether a watch is still parked although the store has a newer position. A watch
+// whose answer is arriving is not.
 func (f *Follower) isMissing(watch uint64, position core.StorePosition) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cancelWatch != nil && f.watchNumber == watch && position.IsAfter(f.state.Position())
+	return f.cancelWatch != nil && f.watchNumber == watch && !f.watchCall.IsBegun() &&
+		position.IsAfter(f.state.Position())
 }
 
 // listMissing requests a listing if a watch has not delivered a revision. Another watch might not
--- /dev/null
+++ b/io/follow/transfer_test.go
@@ -0,0 +1,208 @@
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaway/core"
+	"verbenaway/io/kernel"
+	"verbenaway/io/store"
+)
+
+// link has a bandwidth that all of its connections share.
+type link struct {
+	bytesPerSecond float64
+	mu             sync.Mutex
+	freeAt         time.Time
+}
+
+// slowLinkRate is that of 10 Mbit/s.
+const slowLinkRate = 10e6 / 8
+
+// transfer returns once n more bytes have passed.
+func (l *link) transfer(n int) {
+	l.mu.Lock()
+	now := time.Now()
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
+	wait := l.freeAt.Sub(now)
+	l.mu.Unlock()
+	time.Sleep(wait)
+}
+
+// dial returns a function that connects over the link.
+func (l *link) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &linkConn{
+		Conn: conn,
+		link: l,
+	}, nil
+}
+
+type linkConn struct {
+	net.Conn
+	link *link
+}
+
+// maxSegment bounds the bytes of one read, so that connections share the link evenly.
+const maxSegment = 8 << 10
+
+func (c *linkConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p[:min(len(p), maxSegment)])
+	c.link.transfer(n)
+	return n, err
+}
+
+// remoteRegistry reads a fakeRegistry over HTTP.
+type remoteRegistry struct {
+	*fakeRegistry
+	store.Fetcher
+}
+
+// serveRegistry serves a store to one daemon over a link.
+func serveRegistry(t *testing.T, registry *fakeRegistry, l *link) *remoteRegistry {
+	t.Helper()
+	answer := func(w http.ResponseWriter, answer any, err error) {
+		if err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/list", func(w http.ResponseWriter, r *http.Request) {
+		got, err := registry.List(r.Context(), false)
+		answer(w, got, err)
+	})
+	mux.HandleFunc("/position", func(w http.ResponseWriter, r *http.Request) {
+		got, err := registry.Position(r.Context(), false)
+		answer(w, got, err)
+	})
+	mux.HandleFunc("/watch", func(w http.ResponseWriter, r *http.Request) {
+		after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
+		wait, _ := time.ParseDuration(r.FormValue("wait"))
+		got, err := registry.Watch(r.Context(), after, wait)
+		answer(w, got, err)
+	})
+	server := httptest.NewServer(mux)
+	remote := &remoteRegistry{
+		fakeRegistry: registry,
+		Fetcher: store.NewFetcher(store.Config{
+			Address: server.URL,
+			Timeout: 800 * time.Millisecond,
+			Dial:    l.dial,
+		}),
+	}
+	t.Cleanup(func() {
+		remote.Close()
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return remote
+}
+
+func (r *remoteRegistry) get(ctx context.Context, path string, wait time.Duration, answer any) error {
+	got, err := r.Get(ctx, path, nil, wait)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(got.Body, answer)
+}
+
+func (r *remoteRegistry) List(ctx context.Context, _ bool) (answer core.RegistryAnswer, err error) {
+	return answer, r.get(ctx, "/list", 0, &answer)
+}
+
+func (r *remoteRegistry) Position(ctx context.Context, _ bool) (position core.StorePosition, err error) {
+	return position, r.get(ctx, "/position", 0, &position)
+}
+
+func (r *remoteRegistry) Watch(ctx context.Context, after uint64, wait time.Duration) (answer core.RegistryAnswer, err error) {
+	return answer, r.get(ctx, fmt.Sprintf("/watch?after=%d&wait=%v", after, wait), wait, &answer)
+}
+
+// writeLarge adds a version of the configuration with a value of a size. The value shrinks to about a
+// tenth, as that of real configurations does.
+func (r *fakeRegistry) writeLarge(version core.Version, size int) {
+	item := configItem(0, version)
+	random := rand.New(rand.NewSource(int64(version)))
+	for len(item.Value) < size {
+		for range 20 {
+			item.Value = append(item.Value, byte(random.Intn(256)))
+		}
+		item.Value = append(item.Value, make([]byte, 180)...)
+	}
+	r.set(func() {
+		r.revision++
+		item.Revision = r.revision
+		r.items = append(r.items, item)
+	})
+}
+
+// leave deletes the registration of an upstream.
+func (r *fakeRegistry) leave(name core.HostName) {
+	r.set(func() {
+		r.revision++
+		r.items = append(r.items, core.RegistryItem{
+			Key:      string(name),
+			Revision: r.revision,
+			IsDelete: true,
+		})
+	})
+}
+
+// waitGone fails the test unless a daemon knows within the given time that an upstream has left.
+func waitGone(t *testing.T, f *Follower, name core.HostName, within time.Duration) {
+	t.Helper()
+	waitUntil(t, within, func() bool {
+		_, ok := f.Upstream(name)
+		return !ok
+	})
+}
+
+// departDeadline is the time within which requests have to stop going to an upstream that leaves.
+const departDeadline = 2 * time.Second
+
+// TestLargeAnswerOfStore guards against a reader that gives up a large answer of the store which is
+// still arriving, and then hears of no change until a later attempt succeeds.
+func TestLargeAnswerOfStore(t *testing.T) {
+	registry := newFakeRegistry()
+	registry.register("u1")
+	registry.write(1)
+	remote := serveRegistry(t, registry, &link{
+		bytesPerSecond: slowLinkRate,
+	})
+	f := New(Config{
+		Registry: remote,
+		Clock:    kernel.SystemClock{},
+		Journal:  nopJournal{},
+	})
+	qt.Assert(t, f.Start(t.Context()), qt.IsNil)
+	t.Cleanup(func() { qt.Check(t, f.Stop(context.Background()), qt.IsNil) })
+	waitVersion(t, f, 1, applyDeadline)
+	// The watch is parked.
+	time.Sleep(2 * minWatchGap)
+	registry.writeLarge(2, 900_000)
+	writtenAt := time.Now()
+	time.Sleep(300 * time.Millisecond)
+	registry.leave("u1")
+	leftAt := time.Now()
+	waitVersion(t, f, 2, time.Until(writtenAt.Add(applyDeadline)))
+	waitGone(t, f, "u1", time.Until(leftAt.Add(departDeadline)))
+}
--- a/io/follow/view.go
+++ b/io/follow/view.go
@@ -15,7 +15,7 @@
 }
 
 // ObserveVersion implements core.ConfigView. A version that another daemon already uses makes this
-// daemon list the store if it has not arrived within hintDelay. Listing at once would cost one
+// daemon list the store if it has not begun to arrive within hintDelay. Listing at once would cost one
 // listing per daemon and change, since requests carry a version faster than watches do.
 func (f *Follower) ObserveVersion(_ core.HostName, version core.Version) {
 	snapshot := f.view.Load().Snapshot
@@ -32,6 +32,9 @@
 	if now.Sub(f.hintedAt) < hintDelay || now.Sub(f.hintListedAt) < minHintListInterval {
 		return
 	}
+	if f.cancelWatch != nil && f.watchCall.IsBegun() {
+		return
+	}
 	f.hintListedAt = now
 	f.requestList()
 }
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -14,7 +14,8 @@
 type Config struct {
 	// Address is the base URL, such as http://10.0.0.1:8500.
 	Address string
-	// Timeout bounds each operation, beyond the time for which a watch is parked; 0 means 2 s.
+	// Timeout bounds the time until an answer begins, beyond the time for which a watch is parked, and
+	// the time without a further byte of it; 0 means 2 s.
 	Timeout time.Duration
 	// Dial replaces TCP in tests and benchmarks; nil dials TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
--- a/io/store/fetcher.go
+++ b/io/store/fetcher.go
@@ -11,11 +11,16 @@
 	"github.com/dghubble/sling"
 
 	"verbenaway/core"
+	"verbenaway/io/pace"
 )
 
 // maxHeaderBytes bounds the head of an answer, which may otherwise grow until the memory ends.
 const maxHeaderBytes = 64 << 10
 
+// maxTransferTime bounds the transfer of an answer that keeps arriving. The largest one takes half of
+// it at 10 Mbit/s.
+const maxTransferTime = 7 * time.Second
+
 // Fetcher reads from a store over HTTP and maps failures to error kinds. It is safe for
 // concurrent use.
 type Fetcher struct {
@@ -36,12 +41,12 @@
 		config.Dial = dialer.DialContext
 	}
 	client := &http.Client{
-		Transport: &http.Transport{
+		Transport: pace.Transport(&http.Transport{
 			DialContext:            config.Dial,
 			MaxIdleConnsPerHost:    4,
 			IdleConnTimeout:        90 * time.Second,
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		},
+		}),
 	}
 	return Fetcher{
 		config: config,
@@ -57,10 +62,14 @@
 	Body   []byte
 }
 
-// Get returns an answer with status 200, 204 or 404; every other outcome is an error. The call may
-// take Config.Timeout plus wait.
+// Get returns an answer with status 200, 204 or 404; every other outcome is an error. The answer has
+// to begin within Config.Timeout plus wait.
 func (f *Fetcher) Get(ctx context.Context, path string, query any, wait time.Duration) (Answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.config.Timeout+wait)
+	ctx, _, cancel := pace.WithLimits(ctx, pace.Limits{
+		Begin: f.config.Timeout + wait,
+		Idle:  f.config.Timeout,
+		Total: maxTransferTime,
+	})
 	defer cancel()
 	builder := f.base.New().Get(path)
 	if query != nil {
