follow, relay: a late answer of a source is awaited beside the next source

Cause: a fixed time (wait + 250 ms) for an answer whose size and way vary, and a backoff of 2 s for the only sources.

Change: a request that is late is not canceled while the next source is asked; its answer is applied and ends the backoff. An answer that has begun is awaited while it arrives. The age of the contact counts the time on the way.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -39,9 +39,14 @@
 	maxContactAge = time.Second
 	// relayWait is how long a request to another daemon is parked.
 	relayWait = 400 * time.Millisecond
-	// relayTimeout is how long a request to another daemon may take beyond its wait.
+	// relayTimeout is the time beyond its wait after which a request to another daemon is late and the
+	// next one is asked.
 	relayTimeout = 250 * time.Millisecond
-	// sourceBackoff is how long a daemon that gave no answer is not asked again, and
+	// maxRelayPause bounds the time without another byte of an answer, of which many may share a link,
+	// and maxRelayTransferTime the transfer of one that keeps arriving.
+	maxRelayPause        = 800 * time.Millisecond
+	maxRelayTransferTime = 2 * time.Second
+	// sourceBackoff is how long a daemon that gives no answer is not asked again, and
 	// shortSourceBackoff how long one that has no contact with the store, as after its start. The
 	// latter is also the minimum time between requests to random daemons.
 	sourceBackoff      = 2 * time.Second
@@ -173,6 +178,8 @@
 	cancel    context.CancelFunc
 	runDone   chan struct{}
 	checkDone chan struct{}
+	// requests are those to other daemons that have not ended.
+	requests sync.WaitGroup
 }
 
 // New returns a follower, which has no content before Start.
@@ -214,6 +221,7 @@
 	f.cancel()
 	<-f.runDone
 	<-f.checkDone
+	f.requests.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.expiryTimer != nil {
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -11,6 +11,7 @@
 
 	"verbenaway/core"
 	"verbenaway/core/follow"
+	"verbenaway/io/pace"
 )
 
 // rankedHosts returns the hosts of the members that are candidates, ordered by a hash of their
@@ -145,12 +146,12 @@
 		wait = 0
 	}
 	f.mu.Unlock()
-	err := f.followHost(ctx, host, core.FollowRequest{
+	isLate, err := f.followHost(ctx, host, core.FollowRequest{
 		After: after,
 		Wait:  wait,
 	})
 	if core.KindOf(err) == core.StoreCompacted {
-		err = f.followHost(ctx, host, core.FollowRequest{
+		isLate, err = f.followHost(ctx, host, core.FollowRequest{
 			After:  after,
 			IsFull: true,
 		})
@@ -165,7 +166,9 @@
 		pause(ctx, startupRetryInterval)
 		return true
 	}
-	f.backOff(host.Name, now, err)
+	if !isLate {
+		f.backOff(host.Name, now, err)
+	}
 	// The next candidate, or else the store, is asked without a pause.
 	return f.followRelay(ctx)
 }
@@ -191,12 +194,61 @@
 	})
 }
 
-// followHost asks a daemon once and applies its answer.
-func (f *Follower) followHost(ctx context.Context, host core.Host, request core.FollowRequest) error {
-	callCtx, cancel := context.WithTimeout(ctx, request.Wait+relayTimeout)
-	defer cancel()
+// followHost asks a daemon once and applies its answer. If the answer does not begin in time, it backs
+// off and returns an error, but does not cancel the request. A late answer is applied too, and ends the
+// backoff.
+func (f *Follower) followHost(ctx context.Context, host core.Host, request core.FollowRequest) (isLate bool, _ error) {
+	callCtx, call, cancel := pace.WithLimits(ctx, pace.Limits{
+		Begin: request.Wait + sourceBackoff,
+		Idle:  maxRelayPause,
+		Total: maxRelayTransferTime,
+	})
+	askedAt := f.config.Clock.Now()
+	result, late := make(chan error), make(chan struct{})
+	f.requests.Go(func() {
+		defer cancel()
+		err := f.askHost(callCtx, host, request)
+		select {
+		case result <- err:
+		case <-late:
+			f.endBackoff(host, err)
+		}
+	})
+	timer := time.NewTimer(request.Wait + relayTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-result:
+		return false, err
+	case <-timer.C:
+	}
+	if call.IsBegun() {
+		return false, <-result
+	}
+	err := core.Errorf(core.PeerUnreachable, "%s has not answered yet", host.Name)
+	f.backOff(host.Name, askedAt, err)
+	close(late)
+	return true, err
+}
+
+// endBackoff lets a daemon be asked again that has answered late, and cancels the watch of the store
+// that replaced it.
+func (f *Follower) endBackoff(host core.Host, err error) {
+	if err != nil && core.KindOf(err) != core.StoreCompacted {
+		return
+	}
+	f.mu.Lock()
+	delete(f.backoffUntil, host.Name)
+	f.mu.Unlock()
+	if _, _, ok := f.source(f.config.Clock.Now()); ok {
+		f.cancelParkedWatch()
+	}
+}
+
+// askHost asks a daemon once and applies its answer.
+func (f *Follower) askHost(ctx context.Context, host core.Host, request core.FollowRequest) error {
 	f.Counters.FollowRequests.Add(1)
-	answer, err := f.config.Relay.Follow(callCtx, host.PeerAddress, request)
+	sentAt := f.config.Clock.Now()
+	answer, err := f.config.Relay.Follow(ctx, host.PeerAddress, request)
 	switch {
 	case err != nil:
 		return err
@@ -210,9 +262,16 @@
 	case answer.Epoch != request.After.Epoch && !request.IsFull:
 		return core.Errorf(core.StoreCompacted, "%s knows a newer epoch", host.Name)
 	}
+	// What exceeds the wait passed on the way.
+	age := answer.ContactAge + max(f.config.Clock.Now().Sub(sentAt)-request.Wait, 0)
 	changes := f.decode(answer.RegistryAnswer)
-	f.update(answer.ContactAge, func(now time.Time) {
-		f.isStale = false
+	f.update(age, func(now time.Time) {
+		known := f.state.Position()
+		if answer.Epoch < known.Epoch || answer.Epoch > known.Epoch && !request.IsFull {
+			// A late answer; the content is of another epoch by now.
+			return
+		}
+		f.isStale = f.isStale && known.IsAfter(answer.StorePosition)
 		if request.Wait == 0 {
 			f.mergedEpochs[host.Name] = answer.Epoch
 		}
--- a/io/follow/relay_test.go
+++ b/io/follow/relay_test.go
@@ -29,8 +29,12 @@
 	unreachable map[core.HostName]bool
 	// hasNoEpochs removes the epoch from answers, as daemons of earlier releases do not send it.
 	hasNoEpochs bool
+	// ask replaces the way between daemons; nil asks them directly.
+	ask relayFunc
 }
 
+type relayFunc func(ctx context.Context, address string, request core.FollowRequest) (core.FollowAnswer, error)
+
 func newTestZone(t *testing.T, names ...core.HostName) *testZone {
 	t.Helper()
 	return startTestZone(t, names, names)
@@ -78,8 +82,11 @@
 // Follow implements core.RelayClient.
 func (z *testZone) Follow(ctx context.Context, address string, request core.FollowRequest) (core.FollowAnswer, error) {
 	z.mu.Lock()
-	isUnreachable, hasNoEpochs := z.unreachable[core.HostName(address)], z.hasNoEpochs
+	isUnreachable, hasNoEpochs, ask := z.unreachable[core.HostName(address)], z.hasNoEpochs, z.ask
 	z.mu.Unlock()
+	if ask != nil {
+		return ask(ctx, address, request)
+	}
 	if isUnreachable {
 		<-ctx.Done()
 		return core.FollowAnswer{}, ctx.Err()
@@ -346,10 +353,10 @@
 		request := core.FollowRequest{
 			After: f.state.Position(),
 		}
-		err := f.followHost(t.Context(), host, request)
+		_, err := f.followHost(t.Context(), host, request)
 		if core.KindOf(err) == core.StoreCompacted {
 			request.IsFull = true
-			err = f.followHost(t.Context(), host, request)
+			_, err = f.followHost(t.Context(), host, request)
 		}
 		c.Assert(err, qt.IsNil)
 	}
--- a/io/follow/revision.go
+++ b/io/follow/revision.go
@@ -73,13 +73,20 @@
 	}
 	after := f.state.Position()
 	f.mu.Unlock()
-	err := f.followHost(ctx, host, core.FollowRequest{
+	isLate, err := f.followHost(ctx, host, core.FollowRequest{
 		After: after,
 	})
 	if err != nil && core.KindOf(err) != core.StoreCompacted {
-		f.backOff(host.Name, now, err)
+		if !isLate {
+			f.backOff(host.Name, now, err)
+		}
 		return false
 	}
+	return f.cancelParkedWatch()
+}
+
+// cancelParkedWatch cancels the watch of the store unless its answer is arriving.
+func (f *Follower) cancelParkedWatch() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cancelWatch == nil || f.watchCall.IsBegun() {
--- a/io/follow/transfer_test.go
+++ b/io/follow/transfer_test.go
@@ -17,6 +17,7 @@
 
 	"verbenaway/core"
 	"verbenaway/io/kernel"
+	"verbenaway/io/relay"
 	"verbenaway/io/store"
 )
 
@@ -206,3 +207,97 @@
 	waitVersion(t, f, 2, time.Until(writtenAt.Add(applyDeadline)))
 	waitGone(t, f, "u1", time.Until(leftAt.Add(departDeadline)))
 }
+
+// TestLargeAnswerOfSource guards against daemons that give up the large answer of their source while
+// it is still arriving at all of them, and then do not ask it for seconds.
+func TestLargeAnswerOfSource(t *testing.T) {
+	c := qt.New(t)
+	names := make([]core.HostName, 16)
+	for i := range names {
+		names[i] = core.HostName(fmt.Sprintf("d%02d", i))
+	}
+	zone := newTestZone(t, names...)
+	zone.register("leaving")
+	zone.waitVersion(t, 1, applyDeadline)
+	reader := zone.isolateFollowers(t)
+	server := httptest.NewServer(relay.NewHandler(zone.followers[reader]))
+	defer server.Close()
+	client := relay.NewClient(relay.ClientConfig{
+		Dial: (&link{
+			bytesPerSecond: slowLinkRate,
+		}).dial,
+	})
+	defer client.Close()
+	zone.setRelay(func(ctx context.Context, address string, request core.FollowRequest) (core.FollowAnswer, error) {
+		if address != string(reader) {
+			return core.FollowAnswer{}, core.Errorf(core.PeerUnreachable, "the only source is %s", reader)
+		}
+		return client.Follow(ctx, server.Listener.Addr().String(), request)
+	})
+	defer zone.setRelay(nil)
+	time.Sleep(2 * relayWait)
+	zone.writeLarge(2, 700_000)
+	writtenAt := time.Now()
+	time.Sleep(100 * time.Millisecond)
+	zone.leave("leaving")
+	leftAt := time.Now()
+	for name, f := range zone.followers {
+		waitVersion(t, f, 2, time.Until(writtenAt.Add(applyDeadline)))
+		waitGone(t, f, "leaving", time.Until(leftAt.Add(departDeadline)))
+		c.Check(name == reader || f.Counters.SourceFailures.Load() == 0, qt.IsTrue)
+	}
+}
+
+// TestLateAnswerOfSource guards against daemons that give up each answer of their only source, because
+// it begins late, and so hear of no change.
+func TestLateAnswerOfSource(t *testing.T) {
+	zone := newTestZone(t, "d1", "d2", "d3", "d4")
+	zone.waitVersion(t, 1, applyDeadline)
+	reader := zone.isolateFollowers(t)
+	zone.setRelay(func(ctx context.Context, _ string, request core.FollowRequest) (core.FollowAnswer, error) {
+		pause(ctx, relayWait+2*relayTimeout)
+		if ctx.Err() != nil {
+			return core.FollowAnswer{}, ctx.Err()
+		}
+		return zone.followers[reader].Follow(ctx, request)
+	})
+	// Requests that went the usual way have ended.
+	time.Sleep(relayWait + 100*time.Millisecond)
+	zone.write(2)
+	zone.waitVersion(t, 2, applyDeadline)
+}
+
+// isolateFollowers waits until one daemon reads the store, and cuts the others off from it.
+func (z *testZone) isolateFollowers(t *testing.T) (reader core.HostName) {
+	t.Helper()
+	time.Sleep(2 * shortSourceBackoff)
+	waitUntil(t, 2*sourceBackoff, func() bool { return len(z.readers()) == 1 })
+	reader = z.readers()[0]
+	for name, store := range z.stores {
+		if name != reader {
+			store.set(func() { store.isUnreachable = true })
+		}
+	}
+	return reader
+}
+
+// setRelay replaces the way between daemons; nil restores it.
+func (z *testZone) setRelay(ask relayFunc) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.ask = ask
+}
+
+// writeLarge publishes a large version to the stores of all daemons.
+func (z *testZone) writeLarge(version core.Version, size int) {
+	for _, store := range z.stores {
+		store.writeLarge(version, size)
+	}
+}
+
+// leave deletes the registration of an upstream in the stores of all daemons.
+func (z *testZone) leave(name core.HostName) {
+	for _, store := range z.stores {
+		store.leave(name)
+	}
+}
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 
 	"verbenaway/core"
+	"verbenaway/io/pace"
 	"verbenaway/io/wire"
 )
 
@@ -44,11 +45,11 @@
 func NewClient(config ClientConfig) *Client {
 	return &Client{
 		http: &http.Client{
-			Transport: &http.Transport{
+			Transport: pace.Transport(&http.Transport{
 				DialContext:            config.Dial,
 				IdleConnTimeout:        idleConnTimeout,
 				MaxResponseHeaderBytes: maxHeaderBytes,
-			},
+			}),
 		},
 		clients: map[string]wire.RelayClient{},
 	}
