follow: tests of long transfers use small values on a slower link

Cause: with values of 900 KB on a link of 10 Mbit/s the processor time of the tests themselves counts: beside load and with the race detector one such test failed though the transfer took its time only.

--- a/io/follow/transfer_test.go
+++ b/io/follow/transfer_test.go
@@ -28,8 +28,8 @@
 	freeAt         time.Time
 }
 
-// slowLinkRate is that of 10 Mbit/s.
-const slowLinkRate = 10e6 / 8
+// slowLinkRate is that of 1 Mbit/s, so that tests of long transfers need little processor time.
+const slowLinkRate = 1e6 / 8
 
 // transfer returns once n more bytes have passed.
 func (l *link) transfer(n int) {
@@ -62,7 +62,7 @@
 }
 
 // maxSegment bounds the bytes of one read, so that connections share the link evenly.
-const maxSegment = 8 << 10
+const maxSegment = 1 << 10
 
 func (c *linkConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p[:min(len(p), maxSegment)])
@@ -186,20 +186,8 @@
 	registry := newFakeRegistry()
 	registry.register("u1")
 	registry.write(1)
-	remote := serveRegistry(t, registry, &link{
-		bytesPerSecond: slowLinkRate,
-	})
-	f := New(Config{
-		Registry: remote,
-		Clock:    kernel.SystemClock{},
-		Journal:  nopJournal{},
-	})
-	qt.Assert(t, f.Start(t.Context()), qt.IsNil)
-	t.Cleanup(func() { qt.Check(t, f.Stop(context.Background()), qt.IsNil) })
-	waitVersion(t, f, 1, applyDeadline)
-	// The watch is parked.
-	time.Sleep(2 * minWatchGap)
-	registry.writeLarge(2, 900_000)
+	f := startLinkedFollower(t, registry)
+	registry.writeLarge(2, 90_000)
 	writtenAt := time.Now()
 	time.Sleep(300 * time.Millisecond)
 	registry.leave("u1")
@@ -208,6 +196,23 @@
 	waitGone(t, f, "u1", time.Until(leftAt.Add(departDeadline)))
 }
 
+// startLinkedFollower returns a daemon that reads a store over a slow link and has parked its watch.
+func startLinkedFollower(t *testing.T, registry *fakeRegistry) *Follower {
+	t.Helper()
+	f := New(Config{
+		Registry: serveRegistry(t, registry, &link{
+			bytesPerSecond: slowLinkRate,
+		}),
+		Clock:   kernel.SystemClock{},
+		Journal: nopJournal{},
+	})
+	qt.Assert(t, f.Start(t.Context()), qt.IsNil)
+	t.Cleanup(func() { qt.Check(t, f.Stop(context.Background()), qt.IsNil) })
+	waitVersion(t, f, 1, applyDeadline)
+	time.Sleep(2 * minWatchGap)
+	return f
+}
+
 // TestLargeAnswerOfSource guards against daemons that give up the large answer of their source while
 // it is still arriving at all of them, and then do not ask it for seconds.
 func TestLargeAnswerOfSource(t *testing.T) {
@@ -235,7 +240,7 @@
 	})
 	defer zone.setRelay(nil)
 	time.Sleep(2 * relayWait)
-	zone.writeLarge(2, 700_000)
+	zone.writeLarge(2, 70_000)
 	writtenAt := time.Now()
 	time.Sleep(100 * time.Millisecond)
 	zone.leave("leaving")
