follow: the gap between watches begins with the answer

Cause: the gap was counted from the end of an answer, so that changes made while a large one was arriving waited for another 450 ms.

Change: the gap begins with the answer. The number of calls in a time keeps its bound.

--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -16,7 +16,7 @@
 	// DefaultWatchWait is how long a watch is parked. The platform counts each call, and the
 	// reads of the revision detect an unresponsive connection long before the wait ends.
 	DefaultWatchWait = 20 * time.Second
-	// minWatchGap is the minimum time from the answer of a watch to the next watch, so that
+	// minWatchGap is the minimum time from the beginning of a watch's answer to the next watch, so that
 	// changes in quick succession share a call. It is small against the two seconds within which
 	// requests must stop going to a zone or an upstream that is taken out.
 	minWatchGap = 450 * time.Millisecond
--- a/io/follow/read.go
+++ b/io/follow/read.go
@@ -84,7 +84,10 @@
 	changes := f.decode(answer)
 	f.update(0, func(now time.Time) {
 		f.isStale = false
-		f.watchAnsweredAt = now
+		// The store has had the time of the transfer to collect changes.
+		if f.watchAnsweredAt = call.BegunAt(); f.watchAnsweredAt.IsZero() {
+			f.watchAnsweredAt = now
+		}
 		f.state.ApplyWatch(now, changes, answer.StorePosition)
 	})
 	return nil
--- a/io/follow/transfer_test.go
+++ b/io/follow/transfer_test.go
@@ -196,6 +196,20 @@
 	waitGone(t, f, "u1", time.Until(leftAt.Add(departDeadline)))
 }
 
+// TestChangeDuringTransfer guards against changes that wait for the gap between two watches after the
+// transfer of a large answer has taken longer than the gap.
+func TestChangeDuringTransfer(t *testing.T) {
+	registry := newFakeRegistry()
+	registry.register("u1")
+	registry.write(1)
+	f := startLinkedFollower(t, registry)
+	registry.writeLarge(2, 90_000)
+	time.Sleep(300 * time.Millisecond)
+	registry.leave("u1")
+	waitVersion(t, f, 2, applyDeadline)
+	waitGone(t, f, "u1", minWatchGap*3/4)
+}
+
 // startLinkedFollower returns a daemon that reads a store over a slow link and has parked its watch.
 func startLinkedFollower(t *testing.T, registry *fakeRegistry) *Follower {
 	t.Helper()
--- a/io/pace/call.go
+++ b/io/pace/call.go
@@ -25,8 +25,8 @@
 	timer *time.Timer
 
 	mu sync.Mutex
-	// endsAt is the time at which Total ends, zero before the answer begins.
-	endsAt time.Time
+	// begunAt is zero before the answer begins.
+	begunAt time.Time
 }
 
 type callKey struct{}
@@ -55,9 +55,14 @@
 
 // IsBegun reports whether a part of the answer has arrived.
 func (c *Call) IsBegun() bool {
+	return !c.BegunAt().IsZero()
+}
+
+// BegunAt returns the time at which the answer began to arrive, zero before.
+func (c *Call) BegunAt() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.endsAt.IsZero()
+	return c.begunAt
 }
 
 // observe records that a part of the answer has arrived.
@@ -70,12 +75,12 @@
 func (c *Call) extend(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.endsAt.IsZero() {
-		c.endsAt = now.Add(c.limits.Total)
+	if c.begunAt.IsZero() {
+		c.begunAt = now
 	}
 	// A timer that cannot be stopped has ended the call.
 	if c.timer != nil && c.timer.Stop() {
-		c.timer.Reset(min(c.limits.Idle, c.endsAt.Sub(now)))
+		c.timer.Reset(min(c.limits.Idle, c.begunAt.Add(c.limits.Total).Sub(now)))
 	}
 }
 
