follow: a late source is not in backoff during the start

Cause: a late source was put in backoff at once, also while the daemon starts, so that it called the store although its source was about to confirm the content.

Change: no backoff during the start, as before.

--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -225,7 +225,9 @@
 		return false, <-result
 	}
 	err := core.Errorf(core.PeerUnreachable, "%s has not answered yet", host.Name)
-	f.backOff(host.Name, askedAt, err)
+	if !f.isStarting() {
+		f.backOff(host.Name, askedAt, err)
+	}
 	close(late)
 	return true, err
 }
--- a/io/follow/transfer_test.go
+++ b/io/follow/transfer_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -286,6 +287,37 @@
 	zone.waitVersion(t, 2, applyDeadline)
 }
 
+// TestLateAnswerAtStart guards against a daemon that starts and calls the store because its source
+// answers the first request late.
+func TestLateAnswerAtStart(t *testing.T) {
+	c := qt.New(t)
+	zone := newTestZone(t, "d1", "d2")
+	zone.waitVersion(t, 1, applyDeadline)
+	waitUntil(t, 2*sourceBackoff, func() bool { return len(zone.readers()) == 1 })
+	reader := zone.readers()[0]
+	var requests atomic.Int64
+	zone.setRelay(func(ctx context.Context, _ string, request core.FollowRequest) (core.FollowAnswer, error) {
+		if request.Wait == 0 && requests.Add(1) == 1 {
+			pause(ctx, relayTimeout+150*time.Millisecond)
+		}
+		if ctx.Err() != nil {
+			return core.FollowAnswer{}, ctx.Err()
+		}
+		return zone.followers[reader].Follow(ctx, request)
+	})
+	config := zone.followers[reader].config
+	config.Self.Name = "self"
+	store := newFakeRegistry()
+	store.register(reader)
+	store.write(1)
+	config.Registry = store
+	f := New(config)
+	c.Assert(f.Start(t.Context()), qt.IsNil)
+	defer func() { _ = f.Stop(t.Context()) }()
+	waitUntil(t, applyDeadline, f.IsReady)
+	c.Assert(f.Counters.Watches.Load(), qt.Equals, int64(0))
+}
+
 // isolateFollowers waits until one daemon reads the store, and cuts the others off from it.
 func (z *testZone) isolateFollowers(t *testing.T) (reader core.HostName) {
 	t.Helper()
