follow: changes of a late answer do not count as kept

Items that a daemon keeps from before a restoration follow the changes of an answer and are told from them by the position of the receiver. Late answers are applied too, so that the position may have passed the changes of one; these were then marked as kept, and each daemon would have sent them once more to all that follow it, among them a large configuration. Change: the items are told apart by the position of the request; answers of daemons and watches of the store have a method each. Measured: TestLateAnswerIsNotKept fails with the position of the state (2 changes kept, 0 wanted) and passes now; go test -race ./core/follow and the tests of restorations and late answers in io/follow passed.

--- a/core/follow/restore_test.go
+++ b/core/follow/restore_test.go
@@ -411,6 +411,20 @@
 	}
 }
 
+// TestLateAnswerIsNotKept guards against changes of a late answer that count as kept from before a
+// restoration because they are known by now; all daemons would send them once more.
+func TestLateAnswerIsNotKept(t *testing.T) {
+	c := qt.New(t)
+	state := follow.New(follow.Config{})
+	state.ApplyListing(start, []core.RegistryChange{configChange(3, 1)}, at(1, 3))
+	late := []core.RegistryChange{configChange(4, 2), upstreamChange(5, "i1", core.HostLive)}
+	state.ApplyAnswer(start, late, 3, at(1, 5))
+	state.ApplyAnswer(start, late, 3, at(1, 5))
+	c.Assert(state.View().Snapshot.Version, qt.Equals, core.Version(2))
+	c.Assert(state.KeptChanges(), qt.Equals, uint64(0))
+	c.Assert(state.KeptItems(), qt.HasLen, 0)
+}
+
 // decoderOf returns a decoder of items that knows the values of changes.
 func decoderOf(changes []core.RegistryChange) func(core.RegistryItem) core.RegistryChange {
 	return func(item core.RegistryItem) core.RegistryChange {
@@ -441,5 +455,5 @@
 		state.ApplyListing(start, changes, answer.StorePosition)
 		return
 	}
-	state.ApplyWatch(start, changes, answer.StorePosition)
+	state.ApplyAnswer(start, changes, after, answer.StorePosition)
 }
--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -212,13 +212,24 @@
 	}
 }
 
-// ApplyWatch applies the result of a watch that continued from Position, followed by KeptItems if it
-// is that of another daemon. Changes of another epoch are ignored.
+// ApplyWatch applies the result of a watch that continued from Position. Changes of another epoch
+// are ignored.
 func (s *State) ApplyWatch(now time.Time, changes []core.RegistryChange, position core.StorePosition) {
+	s.applyChanges(now, changes, nil, position)
+}
+
+// ApplyAnswer applies the changes that another daemon knows after a revision, followed by its KeptItems.
+// The revision is that of the request; Position may have increased since. Changes of another epoch are
+// ignored.
+func (s *State) ApplyAnswer(now time.Time, changes []core.RegistryChange, after uint64, position core.StorePosition) {
+	content, kept := splitKept(changes, after)
+	s.applyChanges(now, content, kept, position)
+}
+
+func (s *State) applyChanges(now time.Time, content, kept []core.RegistryChange, position core.StorePosition) {
 	if position.Epoch != s.position.Epoch {
 		return
 	}
-	content, kept := splitKept(changes, s.position.Revision)
 	for _, change := range content {
 		s.apply(now, change)
 	}
@@ -226,7 +237,7 @@
 	if position.IsAfter(s.position) {
 		s.position = position
 	}
-	if len(changes) > 0 {
+	if len(content)+len(kept) > 0 {
 		s.compact()
 		s.rebuild(now)
 	}
--- a/io/follow/relay.go
+++ b/io/follow/relay.go
@@ -282,7 +282,7 @@
 			return
 		}
 		f.state.RecordGap(answer.GapBefore)
-		f.state.ApplyWatch(now, changes, answer.StorePosition)
+		f.state.ApplyAnswer(now, changes, request.After.Revision, answer.StorePosition)
 	})
 	return nil
 }
--- a/io/follow/restore_test.go
+++ b/io/follow/restore_test.go
@@ -355,7 +355,7 @@
 	go func() {
 		time.Sleep(100 * time.Millisecond)
 		f.update(0, func(now time.Time) {
-			f.state.ApplyWatch(now, []core.RegistryChange{registry.Decode(kept)}, listing.StorePosition)
+			f.state.ApplyAnswer(now, []core.RegistryChange{registry.Decode(kept)}, listing.Revision, listing.StorePosition)
 		})
 	}()
 	request := core.FollowRequest{
