proxy: the test of answers of the HTTP server waits for its connections

Cause: net/http keeps a connection for half a second after its own answer, and without the race detector the tests of the package end before: goleak found the goroutine in 4 of 5 runs, in none of 3 before the test came. Change: the test ends once the connections are closed; its checks are the same.

--- a/io/proxy/server_answer_test.go
+++ b/io/proxy/server_answer_test.go
@@ -77,6 +77,9 @@
 			status: http.StatusExpectationFailed,
 		},
 	}
+	// The server keeps the connection for half a second after its own answer.
+	var open sync.WaitGroup
+	t.Cleanup(open.Wait)
 	for _, tc := range cases {
 		for before := range 3 {
 			t.Run(fmt.Sprint(tc.name, before), func(t *testing.T) {
@@ -86,7 +89,15 @@
 				rig := newEntryRig(t, func(config *EntryConfig) {
 					config.Decisions = log
 				}, gateHost("a", startGate(t, ran.handler)))
-				caller := dialPresent(c, rig.listenPipelined(c, func(*http.Server) {}))
+				open.Add(1)
+				caller := dialPresent(c, rig.listenPipelined(c, func(server *http.Server) {
+					server.ConnState = func(conn net.Conn, state http.ConnState) {
+						noteConnState(conn, state)
+						if state == http.StateClosed {
+							open.Done()
+						}
+					}
+				}))
 				for range before {
 					caller.send(c, rawRequest("GET", "/lookup", ""))
 					c.Assert(caller.read(c).status, qt.Equals, http.StatusOK)
