--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -128,7 +128,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxServerHeaderBytes,
 		ConnContext:       withCallerConn,
-		ConnState:         noteConnState,
+		ConnState:         observeConnState,
 	}
 }
 
--- a/io/proxy/server_answer.go
+++ b/io/proxy/server_answer.go
@@ -11,9 +11,9 @@
 	"verbenaway/core"
 )
 
-// noteConnState is the http.Server.ConnState for connections of a PipelineListener. A connection is
+// observeConnState is the http.Server.ConnState for connections of a PipelineListener. A connection is
 // idle once an answer was sent completely.
-func noteConnState(conn net.Conn, state http.ConnState) {
+func observeConnState(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
 		c.hasHandler.Store(false)
 	}
--- a/io/proxy/server_answer_test.go
+++ b/io/proxy/server_answer_test.go
@@ -92,7 +92,7 @@
 				open.Add(1)
 				caller := dialPresent(c, rig.listenPipelined(c, func(server *http.Server) {
 					server.ConnState = func(conn net.Conn, state http.ConnState) {
-						noteConnState(conn, state)
+						observeConnState(conn, state)
 						if state == http.StateClosed {
 							open.Done()
 						}
