review: a late heartbeat ends the care for a cold upstream

An upstream starts again under the id that it had and is cold. The store then does the write of a heartbeat from before its restart, which it had not answered. The daemons take it for the newest record, though its start time and sequence are lower, and send at the full rate.

--- a/review/platform/rig/upstream.go
+++ b/review/platform/rig/upstream.go
@@ -26,18 +26,27 @@
 	// admitsPerTenth is the upstream's own limit of requests in a tenth of a second; it answers 429
 	// with Not-Executed to others. 0 means no limit.
 	admitsPerTenth int
-	seed           uint64
+	// coldTime is how long the upstream is cold after its start.
+	coldTime time.Duration
+	// crashAt is the number of requests in a second at which a cold upstream crashes, 0 for none.
+	crashAt int
+	// id is the id of an upstream that starts again, empty for a new one.
+	id   string
+	seed uint64
 }
 
 // upstream is a stand-in for an application upstream. It serves one request at a time on a connection.
 type upstream struct {
-	config   upstreamConfig
-	fleet    *fleet
-	id       string
-	born     int64
-	listener net.Listener
-	slots    chan struct{}
-	done     chan struct{}
+	config upstreamConfig
+	fleet  *fleet
+	id     string
+	born   int64
+	// startedAt is the start on the steady clock.
+	startedAt time.Time
+	listener  net.Listener
+	slots     chan struct{}
+	// done is closed when the upstream stops its heartbeats.
+	done chan struct{}
 	// lateCopies is the share of answers, in thousandths, of which the upstream sends a second copy
 	// late, where the next answer on the connection is expected.
 	lateCopies atomic.Int64
@@ -49,7 +58,10 @@
 	tenth    int64
 	admitted int
 	conns    map[net.Conn]bool
-	closed   sync.Once
+	// coldArrivals are the times at which requests arrived during the cold start.
+	coldArrivals []time.Time
+	closed       sync.Once
+	ended        sync.Once
 }
 
 var upstreamCount atomic.Int64
@@ -70,33 +82,43 @@
 		done:     make(chan struct{}),
 		random:   rand.New(rand.NewPCG(config.seed, uint64(number))),
 		conns:    map[net.Conn]bool{},
+
+		startedAt: time.Now(),
+	}
+	if config.id != "" {
+		u.id = config.id
 	}
-	u.register()
+	u.register("ready")
 	go u.beat()
 	go u.accept()
 	return u, nil
 }
 
-func (u *upstream) register() {
+// entry returns the next entry of the upstream.
+func (u *upstream) entry(state string) []byte {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.sequence++
-	sequence := u.sequence
-	u.mu.Unlock()
+	coldLeft := max(u.config.coldTime-time.Since(u.startedAt), 0)
 	text, _ := json.Marshal(map[string]any{ // plain values
 		"service": u.config.service, "address": u.config.address, "zone": u.config.zone, "version": "v1", "slots": u.config.slots,
-		"state": "ready", "warmup_left_s": 0, "sequence": sequence, "born": u.born,
+		"state": state, "warmup_left_s": coldLeft.Seconds(), "sequence": u.sequence, "born": u.born,
 	})
-	u.fleet.store.put("servers/"+u.id, text)
+	return text
 }
 
-// beat registers the upstream again and again until it ends.
+func (u *upstream) register(state string) {
+	u.fleet.store.put("servers/"+u.id, u.entry(state))
+}
+
+// beat registers the upstream again and again until it ends or leaves.
 func (u *upstream) beat() {
 	ticker := time.NewTicker(heartbeatTime)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			u.register()
+			u.register("ready")
 		case <-u.done:
 			return
 		}
@@ -122,9 +144,14 @@
 	}
 }
 
+// stopBeats ends the heartbeats of an upstream that leaves or ends.
+func (u *upstream) stopBeats() {
+	u.closed.Do(func() { close(u.done) })
+}
+
 func (u *upstream) close() {
-	u.closed.Do(func() {
-		close(u.done)
+	u.stopBeats()
+	u.ended.Do(func() {
 		_ = u.listener.Close()
 		u.mu.Lock()
 		defer u.mu.Unlock()
@@ -192,6 +219,45 @@
 	return u.admitted <= u.config.admitsPerTenth
 }
 
+func (u *upstream) recordArrival() {
+	now := time.Now()
+	if now.Sub(u.startedAt) >= u.config.coldTime {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.coldArrivals = append(u.coldArrivals, now)
+	recent := 0
+	for _, at := range u.coldArrivals {
+		if now.Sub(at) < time.Second {
+			recent++
+		}
+	}
+	if u.config.crashAt > 0 && recent == u.config.crashAt {
+		u.fleet.record.add("upstream %s crashes", u.id)
+		go u.close()
+	}
+}
+
+// mostColdArrivals returns the highest number of requests that arrived within a second of the cold start,
+// and when that second began, from the start of the upstream.
+func (u *upstream) mostColdArrivals() (most int, began time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for i, first := range u.coldArrivals {
+		count := 0
+		for _, at := range u.coldArrivals[i:] {
+			if at.Sub(first) < time.Second {
+				count++
+			}
+		}
+		if count > most {
+			most, began = count, first.Sub(u.startedAt)
+		}
+	}
+	return most, began
+}
+
 func (u *upstream) answer(request *http.Request, body []byte) []byte {
 	id := request.Header.Get("Request-Id")
 	header := http.Header{
@@ -211,6 +277,7 @@
 		header.Set("Not-Executed", "1")
 		return answerText(http.StatusTooManyRequests, header, "")
 	}
+	u.recordArrival()
 	u.slots <- struct{}{}
 	defer func() { <-u.slots }()
 	u.fleet.runs.begin(execution{
