proxy, platform: a late copy of a refusal is no answer to another request

Cause: ClassifyAnswer looked at Not-Executed and status 421 before it compared the id in the answer with that of the request, and the gatekeeper kept the connection. Two more answers could not be told from copies: one without an id, and the second refusal of an order that the entry had sent again to the same upstream on the same connection.

Change: the id is compared first. An answer without an id counts only as the first one on its connection, and a second refusal of the same request on a connection leaves its outcome unknown. The stand-ins of the tests and of the soak repeat the id in refusals, as upstreams do; TestClassifyAnswer still has answers without one.

--- a/core/dialect.go
+++ b/core/dialect.go
@@ -26,8 +26,12 @@
 
 // AnswerClass tells what an upstream's answer means for the request.
 type AnswerClass struct {
-	// IsMismatched says that the answer does not belong to the request.
+	// IsMismatched says that the answer does not belong to the request. The other fields but Detail
+	// are then unset.
 	IsMismatched bool
+	// IsIdentified says that the answer names the request. Any other answer may be a late copy of one
+	// to an earlier request on the connection.
+	IsIdentified bool
 	// IsNotRun says that the upstream has certainly not run the request; Kind says why.
 	IsNotRun bool
 	Kind     ErrorKind
--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -36,13 +36,18 @@
 }
 
 func (fakeDialect) ClassifyAnswer(request http.Header, _ int, answer http.Header) core.AnswerClass {
+	id := answer.Get("X-Id")
+	isRefusal := answer.Get("X-NotRun") != ""
+	isMissing := id == "" && request.Get("X-Id") != ""
 	switch {
-	case answer.Get("X-NotRun") != "":
-		return core.AnswerClass{IsNotRun: true, Kind: core.Overloaded}
-	case answer.Get("X-Signed") == "" || answer.Get("X-Id") != request.Get("X-Id"):
+	case id != request.Get("X-Id") && !(isRefusal && isMissing):
+		return core.AnswerClass{IsMismatched: true}
+	case isRefusal:
+		return core.AnswerClass{IsNotRun: true, IsIdentified: id != "", Kind: core.Overloaded}
+	case answer.Get("X-Signed") == "":
 		return core.AnswerClass{IsMismatched: true}
 	}
-	return core.AnswerClass{}
+	return core.AnswerClass{IsIdentified: id != ""}
 }
 
 func (fakeDialect) SetRefusalHeaders(header http.Header, refusal core.Refusal) int {
@@ -166,7 +171,8 @@
 }
 
 // shedHandler refuses like an overloaded upstream.
-func shedHandler(w http.ResponseWriter, _ *http.Request) {
+func shedHandler(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
 	w.Header().Set("X-NotRun", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -115,7 +115,15 @@
 // answer is not sent to the caller.
 func (c *gateCall) classifyAnswer(response *http.Response, trace *gateTrace) (core.ErrorKind, string) {
 	c.reachedUpstream = true
-	class := c.gate.config.Dialect.ClassifyAnswer(c.request.Header, response.StatusCode, response.Header)
+	dialect := c.gate.config.Dialect
+	class := dialect.ClassifyAnswer(c.request.Header, response.StatusCode, response.Header)
+	requestID := dialect.RequestID(c.request.Header)
+	if !class.IsMismatched && trace.mayBeRepeated(class.IsIdentified, requestID) {
+		class = core.AnswerClass{
+			IsMismatched: true,
+			Detail:       "the answer may be a copy of an earlier one on its connection",
+		}
+	}
 	switch {
 	case class.IsMismatched:
 		// More unrequested answers may follow on the connection.
@@ -123,6 +131,7 @@
 		c.report(admit.SignalReset, "")
 		return c.lostAnswerKind(true), class.Detail
 	case class.IsNotRun:
+		trace.recordRefusal(requestID)
 		c.report(admit.SignalShed, "")
 		gateDiscard(response.Body)
 		c.outcome = gateNotRun
--- a/io/proxy/gate_transport.go
+++ b/io/proxy/gate_transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -104,6 +105,31 @@
 	written   atomic.Int64
 	isBusy    atomic.Bool
 	isClosed  atomic.Bool
+	// requests counts the requests that got the connection.
+	requests atomic.Int64
+
+	mu sync.Mutex
+	// refused holds the ids of the latest requests that the upstream refused on the connection, at
+	// most maxRefusedIDs, the oldest first.
+	refused []string
+}
+
+// maxRefusedIDs bounds the ids for which a late copy of a refusal is recognized.
+const maxRefusedIDs = 16
+
+func (c *gateConn) recordRefusal(requestID string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.refused) == maxRefusedIDs {
+		c.refused = slices.Delete(c.refused, 0, 1)
+	}
+	c.refused = append(c.refused, requestID)
+}
+
+func (c *gateConn) hasRefused(requestID string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.refused, requestID)
 }
 
 // Read implements net.Conn.
@@ -142,9 +168,11 @@
 	// attempt started.
 	conn          *gateConn
 	writtenBefore int64
-	sent          bool
-	attempts      int
-	replayed      bool
+	// isFirst is true if the latest attempt is the first one on its connection.
+	isFirst  bool
+	sent     bool
+	attempts int
+	replayed bool
 }
 
 func (t *gateTrace) hooks() *httptrace.ClientTrace {
@@ -167,9 +195,31 @@
 	conn.isBusy.Store(true)
 	t.conn = conn
 	t.writtenBefore = conn.written.Load()
+	t.isFirst = conn.requests.Add(1) == 1
 	t.attempts++
 }
 
+// mayBeRepeated reports whether an answer may be a late copy of one to an earlier request on the
+// connection: it does not name its request, or the entry has sent the request again and the first
+// refusal had come on the same connection.
+func (t *gateTrace) mayBeRepeated(isIdentified bool, requestID string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil || t.isFirst {
+		return false
+	}
+	return !isIdentified || t.conn.hasRefused(requestID)
+}
+
+// recordRefusal records that the upstream refused the request.
+func (t *gateTrace) recordRefusal(requestID string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		t.conn.recordRefusal(requestID)
+	}
+}
+
 func (t *gateTrace) putIdleConn(err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
