proxy: a planned stop answers pipelined requests that were passed on

Cause: a leaving entry closed the connection with the next answer, whatever early calls were behind it; closing canceled them. Besides, an early call whose answer waited for the one in front was not in flight, so that Drain could end before it was sent.

Change: the connection closes with the first answer that has no early call behind it; a leaving entry starts none. For an answer that waits, this is decided when the server gets it. An early call is in flight until its answer was handed to the server.

--- a/io/proxy/early_call.go
+++ b/io/proxy/early_call.go
@@ -16,8 +16,11 @@
 // is the ResponseWriter of this handler: it buffers the answer until join and writes to the
 // server's ResponseWriter afterwards.
 type earlyCall struct {
+	conn    *callerConn
 	request *http.Request
 	cancel  context.CancelFunc
+	// release ends the call as a request in flight. It may be called more than once.
+	release func()
 	done    chan struct{}
 
 	mu      sync.Mutex
@@ -34,12 +37,16 @@
 }
 
 // startEarly starts a request that the server has not read yet. It runs only if it is
-// idempotent: if the connection ends before the server reads it, the caller sends it again.
-func (e *Entry) startEarly(parent context.Context, request *http.Request) *earlyCall {
-	ctx, cancel := context.WithCancel(parent)
+// idempotent: if the connection ends before the server reads it, the caller sends it again. It is in
+// flight until its answer was sent.
+func (e *Entry) startEarly(conn *callerConn, request *http.Request) *earlyCall {
+	e.inFlight.Add(1)
+	ctx, cancel := context.WithCancel(conn.ctx)
 	call := &earlyCall{
+		conn:    conn,
 		request: request.WithContext(ctx),
 		cancel:  cancel,
+		release: sync.OnceFunc(e.endRequest),
 		done:    make(chan struct{}),
 		header:  http.Header{},
 	}
@@ -58,7 +65,7 @@
 			c.panicValue = recovered
 		}
 	}()
-	c.isDeferred = !e.serve(c, c.request, true)
+	c.isDeferred = !e.serve(c, c.request, c.conn, true)
 }
 
 // matches reports whether the server has read this request.
@@ -92,6 +99,9 @@
 		return
 	}
 	maps.Copy(c.serverWriter.Header(), c.header)
+	if c.conn.entry.closesAfterAnswer(c.conn) {
+		c.serverWriter.Header().Set("Connection", "close")
+	}
 	c.serverWriter.WriteHeader(c.status)
 	c.status = 0
 	// An error is reported again by the next write or at the end of the handler.
--- a/io/proxy/early_conn.go
+++ b/io/proxy/early_conn.go
@@ -98,7 +98,8 @@
 	// readDeadline is the read deadline that the server has set, zero for none.
 	readDeadline time.Time
 	// err ended the reading from the network.
-	err error
+	err      error
+	isClosed bool
 }
 
 // SetReadDeadline implements net.Conn. The server ends a read by a deadline in the past and removes
@@ -297,6 +298,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readAhead = nil
+	c.isClosed = true
+	c.dropEarlyCalls()
 	if c.err == nil {
 		c.err = net.ErrClosed
 	}
@@ -304,9 +307,26 @@
 	return err
 }
 
+// hasEarlyCalls reports whether requests behind the current one have been passed on. Once the entry is
+// leaving, no further ones are.
+func (c *callerConn) hasEarlyCalls() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.earlyCalls) > 0
+}
+
+// dropEarlyCalls cancels the early calls that the server will not ask for. The caller holds mu.
+func (c *callerConn) dropEarlyCalls() {
+	for _, call := range c.earlyCalls {
+		call.cancel()
+		call.release()
+	}
+	c.earlyCalls = nil
+}
+
 // startEarlyCalls starts the complete requests after the current one. The caller holds mu.
 func (c *callerConn) startEarlyCalls() {
-	if !c.isHandling || c.isPassThrough || c.bodyLeft > 0 || c.entry.isLeaving() {
+	if !c.isHandling || c.isClosed || c.isPassThrough || c.bodyLeft > 0 || c.entry.isLeaving() {
 		return
 	}
 	for len(c.earlyCalls) < maxEarlyCalls {
@@ -322,7 +342,7 @@
 		}
 		request.RemoteAddr = c.RemoteAddr().String()
 		c.earlyBytes += end
-		c.earlyCalls = append(c.earlyCalls, c.entry.startEarly(c.ctx, request))
+		c.earlyCalls = append(c.earlyCalls, c.entry.startEarly(c, request))
 	}
 }
 
@@ -347,10 +367,8 @@
 	// The server rejected an earlier request itself, so that the early calls no longer match
 	// its requests.
 	call.cancel()
-	for _, other := range c.earlyCalls {
-		other.cancel()
-	}
-	c.earlyCalls = nil
+	call.release()
+	c.dropEarlyCalls()
 	return nil
 }
 
--- a/io/proxy/early_test.go
+++ b/io/proxy/early_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +18,13 @@
 
 // dialPipelined connects to an entry that starts pipelined requests early and has one gatekeeper.
 func dialPipelined(t *testing.T, gate http.HandlerFunc) net.Conn {
+	t.Helper()
+	_, conn := dialPipelinedEntry(t, gate)
+	return conn
+}
+
+// dialPipelinedEntry is dialPipelined for tests that use the entry too.
+func dialPipelinedEntry(t *testing.T, gate http.HandlerFunc) (*Entry, net.Conn) {
 	t.Helper()
 	rig := newEntryRig(t, nil, gateHost("a", startGate(t, gate)))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -32,7 +42,7 @@
 		_ = conn.Close()
 		_ = server.Close()
 	})
-	return conn
+	return rig.entry, conn
 }
 
 func rawRequest(method, path, body string) string {
@@ -124,6 +134,73 @@
 	waitUntil(t, func() bool { return canceled.Load() == 3 })
 }
 
+// TestPipelinedAnswersAtPlannedStop guards against a planned stop that cuts pipelined requests which were
+// passed on. Their answers come in order, and the last of them closes the connection.
+func TestPipelinedAnswersAtPlannedStop(t *testing.T) {
+	const requests = 4
+	paths := make([]string, requests)
+	text := ""
+	for i := range paths {
+		paths[i] = fmt.Sprintf("/lookup/%d", i)
+		text += rawRequest("GET", paths[i], "")
+	}
+	cases := []struct {
+		name string
+		// isServed tells whether the gatekeeper answers the request at a position before those in front
+		// of it.
+		isServed func(position int) bool
+		drains   bool
+	}{
+		{name: "all at once", isServed: func(int) bool { return false }},
+		{name: "all at once, with draining", isServed: func(int) bool { return false }, drains: true},
+		{name: "those behind the first had their answers", isServed: func(position int) bool { return position > 0 }},
+		{name: "those behind the first had their answers, with draining", isServed: func(position int) bool { return position > 0 }, drains: true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			var arrived atomic.Int32
+			blocked := make(chan struct{})
+			proceed := sync.OnceFunc(func() { close(blocked) })
+			entry, conn := dialPipelinedEntry(t, func(w http.ResponseWriter, r *http.Request) {
+				arrived.Add(1)
+				if !tc.isServed(slices.Index(paths, r.URL.Path)) {
+					<-blocked
+				}
+				_, _ = fmt.Fprint(w, r.URL.Path)
+			})
+			t.Cleanup(proceed)
+			_, err := conn.Write([]byte(text))
+			c.Assert(err, qt.IsNil)
+			waitUntil(t, func() bool { return arrived.Load() == requests })
+			entry.Leave()
+			drained := make(chan error, 1)
+			if tc.drains {
+				go func() { drained <- entry.Drain(t.Context()) }()
+			}
+			// A request that was not passed on may be cut.
+			_, err = conn.Write([]byte(rawRequest("GET", "/lookup/late", "")))
+			c.Assert(err, qt.IsNil)
+			c.Assert(entry.InFlight(), qt.Equals, requests)
+			proceed()
+			reader := bufio.NewReader(conn)
+			for i, want := range paths {
+				response, readErr := http.ReadResponse(reader, nil)
+				c.Assert(readErr, qt.IsNil, qt.Commentf("answer %d", i))
+				body, readErr := io.ReadAll(response.Body)
+				c.Assert(readErr, qt.IsNil)
+				c.Assert(string(body), qt.Equals, want)
+				c.Assert(response.Close, qt.Equals, i == requests-1)
+			}
+			if tc.drains {
+				c.Assert(<-drained, qt.IsNil)
+			}
+			c.Assert(arrived.Load(), qt.Equals, int32(requests))
+			waitUntil(t, func() bool { return entry.InFlight() == 0 })
+		})
+	}
+}
+
 // waitUntil fails the test if the condition is not met within 500 ms, in which requests of a
 // disconnected caller must end.
 func waitUntil(t *testing.T, condition func() bool) {
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -136,15 +136,13 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, ok := r.Context().Value(callerConnKey{}).(*callerConn)
 	if !ok {
-		e.serve(w, r, false)
+		e.serve(w, r, nil, false)
 		return
 	}
 	early := conn.startHandler(r)
 	defer conn.endHandler()
 	if early != nil {
-		if e.isLeaving() {
-			w.Header().Set("Connection", "close")
-		}
+		defer early.release()
 		if early.join(w, r) {
 			return
 		}
@@ -152,20 +150,24 @@
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(conn.ctx, cancel)()
-	e.serve(w, r.WithContext(ctx), false)
+	e.serve(w, r.WithContext(ctx), conn, false)
 }
 
-// serve serves one request. It returns false for an early request that it did not start because
-// the route is not idempotent.
-func (e *Entry) serve(w http.ResponseWriter, r *http.Request, isEarly bool) bool {
+// serve serves one request of a connection, which is nil if it does not come from a PipelineListener.
+// It returns false for an early request that it did not start because the route is not idempotent.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, conn *callerConn, isEarly bool) bool {
 	c := &call{
 		entry:   e,
 		request: r,
+		conn:    conn,
+		isEarly: isEarly,
 		started: e.config.Clock.Now(),
 	}
 	c.reply.init(w)
-	e.inFlight.Add(1)
-	defer e.endRequest()
+	if !isEarly {
+		e.inFlight.Add(1)
+		defer e.endRequest()
+	}
 	defer c.end()
 	if e.draining.Load() {
 		e.Counters.Requests.Add(1)
@@ -190,6 +192,13 @@
 	return e.leaving.Load() || e.draining.Load()
 }
 
+// closesAfterAnswer reports whether the answer that is about to be sent to a caller closes its
+// connection because the entry is leaving. Pipelined requests that were passed on get their answers
+// first.
+func (e *Entry) closesAfterAnswer(conn *callerConn) bool {
+	return e.isLeaving() && (conn == nil || !conn.hasEarlyCalls())
+}
+
 // ServeClaimed forwards to another upstream a request whose idempotency key the gatekeeper on the
 // local host has claimed but which the local upstream cannot take. It also works during Drain,
 // since the owner of a key remains responsible for it until the process ends.
@@ -220,8 +229,9 @@
 	}
 }
 
-// Leave makes the entry close the connection of a caller after each answer, so that the caller
-// connects to another daemon. Requests that still arrive are served.
+// Leave makes the entry close the connection of a caller after an answer, so that the caller connects
+// to another daemon. Pipelined requests that were passed on get their answers first, and requests that
+// still arrive are served.
 func (e *Entry) Leave() {
 	e.leaving.Store(true)
 }
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -18,6 +18,10 @@
 	entry   *Entry
 	request *http.Request
 	reply   reply
+	// conn is nil if the connection of the caller does not come from a PipelineListener.
+	conn *callerConn
+	// isEarly means that the request runs in an earlyCall.
+	isEarly bool
 
 	// isClaimed is true if the gatekeeper on the local host owns the idempotency key of the
 	// request and has claimed it.
@@ -437,9 +441,13 @@
 	return kind == core.Canceled || kind == core.CanceledBeforeRun
 }
 
-// closesConnection reports whether the caller's connection is closed after this answer.
+// closesConnection reports whether the caller's connection is closed after this answer. For an early
+// call, earlyCall decides whether the connection of a leaving entry is closed.
 func (c *call) closesConnection() bool {
-	return c.entry.isLeaving() || c.stream != nil && !c.stream.isComplete()
+	if c.stream != nil && !c.stream.isComplete() {
+		return true
+	}
+	return !c.isEarly && c.entry.closesAfterAnswer(c.conn)
 }
 
 // end releases the resources of the request. It also runs if the answer is aborted.
