proxy: a lookup behind an order of the same connection runs once

Seen by callers: nothing but later answers.

Cause: the server may get the order while the handler in front of it still runs. An early call that was started after that was taken for the order, did not match and was canceled.

Change: no early call is started while the server has a request that was not started early and whose handler has not begun.

--- a/io/proxy/early_conn.go
+++ b/io/proxy/early_conn.go
@@ -333,6 +333,11 @@
 	if !c.isHandling || c.isClosed || c.isPassThrough || c.bodyLeft > 0 || c.entry.isLeaving() {
 		return
 	}
+	if c.isHandlerDue() && len(c.earlyCalls) == 0 {
+		// The server already has the next request, which was not started early. An early call would
+		// be taken for it.
+		return
+	}
 	for !c.isLast && len(c.earlyCalls) < maxEarlyCalls {
 		rest := c.readAhead[min(c.currentBytes+c.earlyBytes, len(c.readAhead)):]
 		end := bytes.Index(rest, headerEnd)
--- a/io/proxy/early_test.go
+++ b/io/proxy/early_test.go
@@ -247,6 +247,31 @@
 	}
 }
 
+// TestPipelinedBehindOrder guards against a lookup that runs twice: it starts early although the server
+// has already got the order in front of it, which is taken for the lookup, so that this is canceled.
+func TestPipelinedBehindOrder(t *testing.T) {
+	c := qt.New(t)
+	var lookups atomic.Int32
+	conn := dialPipelined(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/lookup/2" {
+			lookups.Add(1)
+		}
+		time.Sleep(50 * time.Millisecond)
+		_, _ = fmt.Fprint(w, r.URL.Path)
+	})
+	for _, text := range []string{
+		rawRequest("GET", "/lookup/0", ""),
+		rawRequest("POST", "/order/1", "a"),
+		rawRequest("GET", "/lookup/2", "") + rawRequest("GET", "/lookup/3", ""),
+	} {
+		_, err := conn.Write([]byte(text))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Assert(readAnswers(t, conn, 4), qt.DeepEquals, []string{"/lookup/0", "/order/1", "/lookup/2", "/lookup/3"})
+	c.Assert(lookups.Load(), qt.Equals, int32(1))
+}
+
 // waitUntil fails the test if the condition is not met within 500 ms, in which requests of a
 // disconnected caller must end.
 func waitUntil(t *testing.T, condition func() bool) {
