follow: an entry of an unknown service owns no contested address

Cause: an address belongs to the upstream that started last, and the view did not ask whether the configuration names its service.

Change: an upstream of a service that the configuration names comes first; decided anew with each version.

--- a/core/follow/state_test.go
+++ b/core/follow/state_test.go
@@ -286,6 +286,40 @@
 	c.Assert(view.ByName[old.Upstream.Host.Name].Host.Instance, qt.Equals, "i2")
 }
 
+// TestUnknownServiceAtAddress guards against an entry of a service that the configuration does not name
+// and that takes the address of a sound upstream. Once a version names the service, the upstream that
+// started last has the address.
+func TestUnknownServiceAtAddress(t *testing.T) {
+	c := qt.New(t)
+	state := follow.New(follow.Config{
+		RecoveryGrace: grace,
+	})
+	sound := upstreamChange(3, "i1", core.HostLive)
+	sound.Upstream.StartedMs = 1000
+	foreign := upstreamChange(6, "i2", core.HostLive)
+	foreign.Upstream.Host.Name = sound.Upstream.Host.Name
+	foreign.Upstream.Host.Service = "nowhere"
+	foreign.Upstream.StartedMs = 2000
+	config := func(revision uint64, version core.Version, services ...core.ServiceName) core.RegistryChange {
+		change := configChange(revision, version)
+		change.Config.Services = map[core.ServiceName]core.ServiceSpec{}
+		for _, name := range services {
+			change.Config.Services[name] = core.ServiceSpec{
+				Name: name,
+			}
+		}
+		return change
+	}
+	owner := func() string { return state.View().ByName[sound.Upstream.Host.Name].Host.Instance }
+	state.ApplyListing(start, []core.RegistryChange{foreign, sound, config(1, 1, "netbook")}, at(0, 6))
+	c.Assert(owner(), qt.Equals, "i1")
+	c.Assert(state.View().Members["netbook"], qt.HasLen, 1)
+	state.ApplyWatch(start, []core.RegistryChange{config(7, 2, "netbook", "nowhere")}, at(0, 7))
+	c.Assert(owner(), qt.Equals, "i2")
+	state.ApplyWatch(start, []core.RegistryChange{config(8, 3, "netbook")}, at(0, 8))
+	c.Assert(owner(), qt.Equals, "i1")
+}
+
 // TestColdStart guards against a cold start that is longer or shorter than the upstream
 // declares, and against a snapshot that is rebuilt although nothing in it has changed.
 func TestColdStart(t *testing.T) {
--- a/core/follow/view.go
+++ b/core/follow/view.go
@@ -83,7 +83,8 @@
 }
 
 // rebuildMembers lists the upstreams in use. Addresses are reused, so each one belongs to the
-// upstream that started last.
+// upstream that started last; one of a service that the configuration does not name, as other writers
+// may register it, has an address only if no other upstream claims it.
 func (s *State) rebuildMembers(now time.Time) {
 	latest := map[core.HostName]*entry{}
 	for _, e := range s.entries {
@@ -91,7 +92,7 @@
 			continue
 		}
 		name := e.Upstream.Host.Name
-		if other := latest[name]; other == nil || supersedes(e, other) {
+		if other := latest[name]; other == nil || s.supersedes(e, other) {
 			latest[name] = e
 		}
 	}
@@ -118,8 +119,11 @@
 }
 
 // supersedes reports whether the address that a and b share belongs to a.
-func supersedes(a, b *entry) bool {
+func (s *State) supersedes(a, b *entry) bool {
+	isKnown := s.isServiceKnown(a)
 	switch {
+	case isKnown != s.isServiceKnown(b):
+		return isKnown
 	case a.Upstream.StartedMs != b.Upstream.StartedMs:
 		return a.Upstream.StartedMs > b.Upstream.StartedMs
 	case a.IsDelete != b.IsDelete:
@@ -128,6 +132,16 @@
 	return a.Revision > b.Revision
 }
 
+// isServiceKnown reports whether the configuration names the service of an upstream; without a
+// configuration every service counts as known.
+func (s *State) isServiceKnown(e *entry) bool {
+	if s.view.Snapshot == nil {
+		return true
+	}
+	_, ok := s.view.Snapshot.Services[e.Upstream.Host.Service]
+	return ok
+}
+
 func (e *entry) member(now time.Time) core.Member {
 	member := core.Member{
 		Host:  e.Upstream.Host,
