follow: a late write of an earlier record replaces no newer one

Cause: the records of a key were ordered by the revision of the store, the order in which writes are done. The earlier record also said that the upstream was not cold. The same brought back upstreams that leave or have left.

Change: a record is ignored if its start has written a higher sequence, or if another start followed and it is not newer than what was seen of its start; the first newer one after that is ignored too, a second is believed, since clocks may step. Ignored records are logged. What is known from before a restoration is not compared.

--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -40,6 +40,8 @@
 	isKept bool
 	// lastWrite is the newest record of the upstream, also after its deletion.
 	lastWrite writeMark
+	// replaced holds the earlier starts under this key, the latest last.
+	replaced []replacedStart
 }
 
 // revisionGap is the range of the revisions after one and before another.
@@ -288,9 +290,15 @@
 		return
 	}
 	next := newEntry(now, change)
-	if change.IsDelete && known != nil {
-		next.lastWrite = known.lastWrite
-		s.retainDeleted(now, known, next)
+	if known != nil {
+		if change.Upstream != nil && known.isLateWrite(next.lastWrite) {
+			s.recordLateWrite(change)
+			return
+		}
+		next.inheritWrites(known)
+		if change.IsDelete {
+			s.retainDeleted(now, known, next)
+		}
 	}
 	s.entries[change.Key] = next
 	s.recordEvent(known, next)
