follow, store: changes that do not fit into one answer lead to a listing

Cause: three changes of 1 MB exceed the 4 MiB that are read of an answer. That counted as a malformed answer, and the same watch was repeated from the same revision.

Change: the kind storeTooLarge; a watch that ends so is followed by a listing, whose pages are bounded and which has only the newest value of each key.

--- a/core/iface.go
+++ b/core/iface.go
@@ -18,7 +18,7 @@
 }
 
 // Store is the read-only client of the platform's configuration store.
-// Errors have the kinds StoreDown, StoreBusy and StoreMalformed.
+// Errors have the kinds StoreDown, StoreBusy, StoreTooLarge and StoreMalformed.
 type Store interface {
 	// Value returns one value; found is false if the key does not exist.
 	Value(ctx context.Context, key string) (value []byte, found bool, err error)
--- a/core/kind.go
+++ b/core/kind.go
@@ -50,6 +50,7 @@
 	StoreBusy      ErrorKind = "storeBusy"
 	StoreMalformed ErrorKind = "storeMalformed"
 	StoreStale     ErrorKind = "storeStale"
+	StoreTooLarge  ErrorKind = "storeTooLarge"
 	StoreCompacted ErrorKind = "storeCompacted"
 	StoreRestored  ErrorKind = "storeRestored"
 	StoreFork      ErrorKind = "storeFork"
@@ -119,6 +120,7 @@
 	{Kind: StoreBusy, Meaning: "The store refuses reads above its rate limit.", Action: "None: readers back off."},
 	{Kind: StoreMalformed, Meaning: "The answer of the store cannot be decoded.", Action: "Check the store."},
 	{Kind: StoreStale, Meaning: "The content of the store is older than what is in force.", Action: "Restore the missing notes in the store."},
+	{Kind: StoreTooLarge, Meaning: "The answer of the store is larger than a daemon reads.", Action: "None: the daemon reads the whole content of the store instead of the changes."},
 	{Kind: StoreCompacted, Meaning: "The store no longer has the requested changes.", Action: "None: the daemon reads the whole content of the store."},
 	{Kind: StoreRestored, Meaning: "The store was restored from a copy, and its revisions are those of another history.", Action: "None: the daemon reads the whole content of the store."},
 	{Kind: StoreFork, Meaning: "The store has a different note under a number that is already in force.", Action: "Restore the original note in the store."},
--- a/core/registry.go
+++ b/core/registry.go
@@ -6,8 +6,8 @@
 )
 
 // Registry is a platform store that holds the newest configuration as one value and an entry
-// for each upstream. Errors have the kinds StoreDown, StoreBusy, StoreMalformed, StoreCompacted
-// and StoreRestored.
+// for each upstream. Errors have the kinds StoreDown, StoreBusy, StoreMalformed, StoreTooLarge,
+// StoreCompacted and StoreRestored.
 type Registry interface {
 	// List returns the whole content of the store. A key that is not in the answer and last
 	// changed at or before the revision of the answer has been deleted. With mayBeStale the
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -231,7 +231,8 @@
 }
 
 // run lists the content once and then follows changes. After a failure it continues from the last
-// known revision, or lists again if the store has compacted the changes since then or was restored.
+// known revision, or lists again if the store has compacted the changes since then or was restored, or
+// if there are too many of them for one answer.
 // The next listing after one with pages of two epochs follows a pause, though the store is not down.
 func (f *Follower) run(ctx context.Context) {
 	defer close(f.runDone)
@@ -274,7 +275,7 @@
 			continue
 		case ctx.Err() != nil:
 			return
-		case isComplete && (core.KindOf(err) == core.StoreCompacted || core.KindOf(err) == core.StoreRestored):
+		case isComplete && needsListing(err):
 			isComplete = false
 			continue
 		case f.takeWatchCanceled():
@@ -291,6 +292,15 @@
 	}
 }
 
+// needsListing reports whether the changes since the last known revision cannot be had.
+func needsListing(err error) bool {
+	switch core.KindOf(err) {
+	case core.StoreCompacted, core.StoreRestored, core.StoreTooLarge:
+		return true
+	}
+	return false
+}
+
 // hasContent reports whether any content was listed.
 func (f *Follower) hasContent() bool {
 	f.mu.Lock()
--- a/io/follow/read.go
+++ b/io/follow/read.go
@@ -69,7 +69,7 @@
 	answer, err := f.config.Registry.Watch(watchCtx, after, wait)
 	f.mu.Lock()
 	f.cancelWatch = nil
-	if core.KindOf(err) == core.StoreCompacted {
+	if kind := core.KindOf(err); kind == core.StoreCompacted || kind == core.StoreTooLarge {
 		// The watch after the next listing may get the same answer.
 		f.watchAnsweredAt = f.config.Clock.Now()
 	}
--- a/io/store/fetcher.go
+++ b/io/store/fetcher.go
@@ -90,7 +90,7 @@
 	}
 	switch {
 	case len(body) > maxAnswerBytes:
-		return Answer{}, core.Errorf(core.StoreMalformed, "%s: answer is larger than %d bytes", path, maxAnswerBytes)
+		return Answer{}, core.Errorf(core.StoreTooLarge, "%s: the answer is larger than %d bytes", path, maxAnswerBytes)
 	case response.StatusCode == http.StatusGone:
 		return Answer{}, core.Errorf(core.StoreCompacted, "%s: the requested history has been compacted", path)
 	case response.StatusCode == http.StatusTooManyRequests:
