proxy: refusals of requests without an id say that these have not run

Found while reading again, which brought it.

Cause: an answer without an id counted as a possible copy, also if the request has none.

Change: it does not then. Upstreams refuse every request without an id, so that a copy of such a refusal is true as well.

Measured: before, TestRefusalWithoutID failed (502 instead of 503); 3 of 3 runs with the race detector passed now.

--- a/io/proxy/gate_transport.go
+++ b/io/proxy/gate_transport.go
@@ -201,11 +201,12 @@
 
 // mayBeRepeated reports whether an answer may be a late copy of one to an earlier request on the
 // connection: it does not name its request, or the entry has sent the request again and the first
-// refusal had come on the same connection.
+// refusal had come on the same connection. Upstreams refuse all requests without an id, so that a copy
+// of such a refusal is as good as the refusal itself.
 func (t *gateTrace) mayBeRepeated(isIdentified bool, requestID string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.conn == nil || t.isFirst {
+	if t.conn == nil || t.isFirst || requestID == "" {
 		return false
 	}
 	return !isIdentified || t.conn.hasRefused(requestID)
--- a/io/proxy/second_answer_test.go
+++ b/io/proxy/second_answer_test.go
@@ -203,3 +203,16 @@
 		})
 	}
 }
+
+// TestRefusalWithoutID guards against a refusal that leaves open whether the request has run, because
+// the caller has sent no id by which it could be told from a copy.
+func TestRefusalWithoutID(t *testing.T) {
+	c := qt.New(t)
+	rig := newMeshRig(t, nil, largeBudget, shedHandler)
+	for range 5 {
+		got := rig.do(rig.request(http.MethodPost, "/order/1", "a", func(r *http.Request) {
+			r.Header.Set("X-Wait", "500")
+		}))
+		c.Assert(got.status, qt.Equals, http.StatusServiceUnavailable)
+	}
+}
