--- a/core/follow/late.go
+++ b/core/follow/late.go
@@ -17,12 +17,12 @@
 // maxReplacedStarts bounds the earlier starts that are kept of each key.
 const maxReplacedStarts = 4
 
-// isLateWrite reports whether a record of the upstream was written before the known one. The store may
-// do a write seconds after it was sent, when the upstream has written again, has left or has started
+// judgeWrite reports whether a record of the upstream is late: written before the known one. The store
+// may do a write seconds after it was sent, when the upstream has written again, has left or has started
 // again; its revisions do not tell. Starts are not compared by time alone, since clocks may step. What a
-// restored store writes replaces what is known of its previous epoch. A record of an earlier start is
-// remembered.
-func (e *entry) isLateWrite(mark writeMark) bool {
+// restored store writes replaces what is known of its previous epoch. The latest record of an earlier
+// start is remembered.
+func (e *entry) judgeWrite(mark writeMark) (isLate bool) {
 	if e.isKept || e.copied != nil || mark.startedMs == 0 || e.lastWrite.startedMs == 0 {
 		return false
 	}
--- a/core/follow/state.go
+++ b/core/follow/state.go
@@ -291,7 +291,7 @@
 	}
 	next := newEntry(now, change)
 	if known != nil {
-		if change.Upstream != nil && known.isLateWrite(next.lastWrite) {
+		if change.Upstream != nil && known.judgeWrite(next.lastWrite) {
 			s.recordLateWrite(change)
 			return
 		}
--- a/core/route/cost_test.go
+++ b/core/route/cost_test.go
@@ -307,6 +307,7 @@
 		},
 		Random: func() uint64 { return 0 },
 	})
+	// With so many rounds, some requests are chosen at exactly the same moment.
 	for i := range 5000 {
 		fixture.now = fixture.now.Add(10 * time.Second)
 		choices := make([]route.Choice, 8)
--- a/io/proxy/early_conn.go
+++ b/io/proxy/early_conn.go
@@ -80,8 +80,9 @@
 	// isPassThrough is set once the boundaries of requests are unknown; all bytes are then
 	// passed through.
 	isPassThrough bool
-	// isLast is set once a request was found after whose answer the server closes the connection.
-	isLast bool
+	// hasLastRequest is set once a request was found after whose answer the server closes the
+	// connection.
+	hasLastRequest bool
 	// earlyBytes is the number of bytes of readAhead, after currentBytes, that belong to
 	// earlyCalls.
 	earlyBytes int
@@ -100,7 +101,8 @@
 	// readDeadline is the read deadline that the server has set, zero for none.
 	readDeadline time.Time
 	// err ended the reading from the network.
-	err      error
+	err error
+	// isClosed is set by Close, after which no early call is started.
 	isClosed bool
 }
 
@@ -263,7 +265,7 @@
 		return
 	}
 	c.framedRequests++
-	c.isLast = c.isLast || request.Close
+	c.hasLastRequest = c.hasLastRequest || request.Close
 	c.currentBytes = int(min(int64(end)+request.ContentLength, int64(len(c.readAhead))))
 	c.bodyLeft = int64(end) + request.ContentLength - int64(c.currentBytes)
 	c.earlyBytes = max(c.earlyBytes-c.currentBytes, 0)
@@ -338,7 +340,7 @@
 		// be taken for it.
 		return
 	}
-	for !c.isLast && len(c.earlyCalls) < maxEarlyCalls {
+	for !c.hasLastRequest && len(c.earlyCalls) < maxEarlyCalls {
 		rest := c.readAhead[min(c.currentBytes+c.earlyBytes, len(c.readAhead)):]
 		end := bytes.Index(rest, headerEnd)
 		if end < 0 {
@@ -349,7 +351,7 @@
 		if err != nil || request.ContentLength != 0 || request.Method != http.MethodGet {
 			return
 		}
-		c.isLast = request.Close
+		c.hasLastRequest = request.Close
 		request.RemoteAddr = c.RemoteAddr().String()
 		c.earlyBytes += end
 		c.earlyCalls = append(c.earlyCalls, c.entry.startEarly(c, request))
--- a/io/proxy/early_test.go
+++ b/io/proxy/early_test.go
@@ -227,7 +227,7 @@
 			_, err := conn.Write([]byte(tc.text))
 			c.Assert(err, qt.IsNil)
 			c.Assert(conn.SetReadDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
-			answered := int32(0)
+			answered, isClosing := int32(0), false
 			reader := bufio.NewReader(conn)
 			for {
 				response, readErr := http.ReadResponse(reader, nil)
@@ -238,10 +238,11 @@
 				if string(body) == "/lookup/1" {
 					answered++
 				}
-				if response.Close {
+				if isClosing = response.Close; isClosing {
 					break
 				}
 			}
+			c.Assert(isClosing, qt.IsTrue)
 			c.Assert(arrived.Load() <= answered, qt.IsTrue, qt.Commentf("%d arrived, %d answered", arrived.Load(), answered))
 		})
 	}
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -118,7 +118,7 @@
 	dialect := c.gate.config.Dialect
 	class := dialect.ClassifyAnswer(c.request.Header, response.StatusCode, response.Header)
 	requestID := dialect.RequestID(c.request.Header)
-	if !class.IsMismatched && trace.mayBeRepeated(class.IsIdentified, requestID) {
+	if !class.IsMismatched && trace.mayBeCopy(class.IsIdentified, requestID) {
 		class = core.AnswerClass{
 			IsMismatched: true,
 			Detail:       "the answer may be a copy of an earlier one on its connection",
--- a/io/proxy/gate_transport.go
+++ b/io/proxy/gate_transport.go
@@ -114,7 +114,8 @@
 	refused []string
 }
 
-// maxRefusedIDs bounds the ids for which a late copy of a refusal is recognized.
+// maxRefusedIDs bounds the ids for which a late copy of a refusal is recognized. A copy comes where one
+// of the next answers on the connection is due.
 const maxRefusedIDs = 16
 
 func (c *gateConn) recordRefusal(requestID string) {
@@ -199,11 +200,11 @@
 	t.attempts++
 }
 
-// mayBeRepeated reports whether an answer may be a late copy of one to an earlier request on the
+// mayBeCopy reports whether an answer may be a late copy of one to an earlier request on the
 // connection: it does not name its request, or the entry has sent the request again and the first
 // refusal had come on the same connection. Upstreams refuse all requests without an id, so that a copy
 // of such a refusal is as good as the refusal itself.
-func (t *gateTrace) mayBeRepeated(isIdentified bool, requestID string) bool {
+func (t *gateTrace) mayBeCopy(isIdentified bool, requestID string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conn == nil || t.isFirst || requestID == "" {
--- a/io/proxy/second_answer_test.go
+++ b/io/proxy/second_answer_test.go
@@ -92,7 +92,8 @@
 	// isAnonymous leaves the id out of refusals.
 	isAnonymous bool
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// arrivals and runs count those of each id.
 	arrivals map[string]int
 	runs     map[string]int
 	copies   int
@@ -128,6 +129,12 @@
 	}
 }
 
+func (u *refusingUpstream) runsOf(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.runs[id]
+}
+
 func (u *refusingUpstream) answer(id string) (text string, isRefusal bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -189,7 +196,7 @@
 				}))
 				runs := 0
 				for _, upstream := range upstreams {
-					runs += upstream.runs[id]
+					runs += upstream.runsOf(id)
 				}
 				c.Assert(runs <= 1, qt.IsTrue, qt.Commentf("%s ran %d times", id, runs))
 				switch got.status {
