--- a/core/config.go
+++ b/core/config.go
@@ -90,12 +90,23 @@
 	// Priority ranks requests that wait for the same upstream, lower first; within a priority
 	// Class decides. Notes do not contain it.
 	Priority int `toml:"-" json:"-"`
+	// IsOpen exempts the requests of the route from authentication. Notes do not contain it.
+	IsOpen bool `toml:"-" json:"-"`
 }
 
 // TenantSpec describes one tenant.
 type TenantSpec struct {
 	Name        TenantName `toml:"name" json:"name"`
 	HomeRegions []Region   `toml:"homeRegions,omitempty" json:"homeRegions,omitempty"`
+	// Keys holds the digests of the API keys of the tenant; no two tenants have one in common.
+	// Notes do not contain it.
+	Keys []KeyDigest `toml:"-" json:"-"`
+	// Quota bounds the requests of the tenant over all daemons. Notes do not contain it.
+	Quota QuotaSpec `toml:"-" json:"-"`
+	// Priority takes precedence over the priority of the route if HasPriority is set. Notes
+	// contain neither.
+	Priority    int  `toml:"-" json:"-"`
+	HasPriority bool `toml:"-" json:"-"`
 }
 
 // LimitSpec bounds the requests of a route or of a tenant at each gatekeeper.
--- /dev/null
+++ b/core/tenant.go
@@ -0,0 +1,54 @@
+package core
+
+import (
+	"crypto/sha256"
+	"time"
+)
+
+// KeyDigest is the SHA-256 of an API key. Only digests are kept, so that no log, page or dump of
+// the process shows a key.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of an API key.
+func DigestKey(key string) KeyDigest {
+	return sha256.Sum256([]byte(key))
+}
+
+// QuotaSpec bounds the requests of a tenant over all daemons together.
+type QuotaSpec struct {
+	// RequestsPerSecond is at least 0; 0 means that there is no quota.
+	RequestsPerSecond float64
+	// Burst is the number of requests that may exceed the rate at once, at least 0.
+	Burst int
+}
+
+// IsUnlimited reports whether the spec bounds nothing.
+func (q QuotaSpec) IsUnlimited() bool {
+	return q.RequestsPerSecond <= 0
+}
+
+// QuotaDecision is the result of Quotas.Take.
+type QuotaDecision struct {
+	// IsWithin is true if the request may be served; the request then counts towards the quota.
+	IsWithin bool
+	// RetryAfter is the time after which a refused request may be within the quota, 0 if unknown.
+	RetryAfter time.Duration
+}
+
+// Quotas decides whether requests are within the quota of their tenant, which holds over all
+// daemons together. It is safe for concurrent use.
+type Quotas interface {
+	// Take counts a request towards the quota of a tenant, unless it is beyond it.
+	Take(now time.Time, tenant TenantName) QuotaDecision
+	// Return gives back what Take counted for a request that no upstream has received.
+	Return(now time.Time, tenant TenantName)
+}
+
+// RequestPriority returns the rank of a request of a tenant on a route, lower first. It is the same
+// at each daemon that has the snapshot; the name of the tenant goes along with the request.
+func (s *Snapshot) RequestPriority(route *RouteSpec, tenant TenantName) int {
+	if spec, ok := s.Tenants[tenant]; ok && spec.HasPriority {
+		return spec.Priority
+	}
+	return route.Priority
+}
