--- a/core/config.go
+++ b/core/config.go
@@ -87,11 +87,11 @@
 	// IsLiteralPrefix means that PathPrefix has to match the beginning of the path literally,
 	// trailing slash included. Notes do not contain it.
 	IsLiteralPrefix bool `toml:"-" json:"-"`
+	// IsOpen exempts the requests of the route from authentication. Notes do not contain it.
+	IsOpen bool `toml:"-" json:"-"`
 	// Priority ranks requests that wait for the same upstream, lower first; within a priority
 	// Class decides. Notes do not contain it.
 	Priority int `toml:"-" json:"-"`
-	// IsOpen exempts the requests of the route from authentication. Notes do not contain it.
-	IsOpen bool `toml:"-" json:"-"`
 }
 
 // TenantSpec describes one tenant.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"verbenaway/core"
+	"verbenaway/io/pace"
 	"verbenaway/io/wire"
 )
 
@@ -28,13 +29,17 @@
 	// about 20 others.
 	maxCachedClients = 256
 	dialTimeout      = time.Second
+	// maxTransferTime bounds an answer that keeps arriving: a link of 10 Mbit/s carries the
+	// largest message in 7 s.
+	maxTransferTime = 10 * time.Second
 )
 
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	// Traffic counts the connections and their bytes, unless Dial replaces TCP.
 	Traffic *Traffic
-	// Timeout bounds each message with its answer; 0 means 2 s.
+	// Timeout bounds the time until the answer to a message begins, and each pause in it; 0 means
+	// 2 s.
 	Timeout time.Duration
 	// Dial replaces TCP in tests and benchmarks, for example to add latency; nil dials TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -65,12 +70,12 @@
 	return &Client{
 		config: config,
 		http: &http.Client{
-			Transport: &http.Transport{
+			Transport: pace.Transport(&http.Transport{
 				DialContext:            dial,
 				Protocols:              protocols,
 				IdleConnTimeout:        idleConnTimeout,
 				MaxResponseHeaderBytes: maxHeaderBytes,
-			},
+			}),
 		},
 		peers: map[string]wire.PeerClient{},
 	}
@@ -92,7 +97,8 @@
 		"http://"+address,
 		connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithCompressMinBytes(minCompressBytes),
-		connect.WithSendGzip(),
+		connect.WithAcceptCompression(gzipName, newDecompressor, newCompressor),
+		connect.WithSendCompression(gzipName),
 	)
 	c.peers[address] = client
 	return client
@@ -107,7 +113,11 @@
 	send func(context.Context, *connect.Request[Request]) (*connect.Response[Answer], error),
 	decode func(*Answer) (Result, error),
 ) (Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
+	ctx, _, cancel := pace.WithLimits(ctx, pace.Limits{
+		Begin: c.config.Timeout,
+		Idle:  c.config.Timeout,
+		Total: maxTransferTime,
+	})
 	defer cancel()
 	response, err := send(ctx, connect.NewRequest(message))
 	if err != nil {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -36,6 +36,7 @@
 		},
 		connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithCompressMinBytes(minCompressBytes),
+		connect.WithCompression(gzipName, newDecompressor, newCompressor),
 	))
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
