core, io/proxy, platform: requests need the API key of a tenant

Where the configuration has tenants, the entry finds the tenant by the digest of the key in one look-up, refuses requests without a known key with 401 (503 while the configuration is not confirmed), removes the key and the caller's own tenant, and passes the tenant's name on to the gatekeeper, which sets it for the upstream. Requests are counted towards the quota of their tenant once a quota implementation is given.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -183,7 +183,7 @@
 	}
 	ticket.request = request
 	ticket.class = route.Class
-	ticket.rank = rankOf(route)
+	ticket.rank = rankOf(route, c.snapshot.RequestPriority(&route, request.Tenant))
 	ticket.routeLimits = c.limits.routes[request.Route]
 	ticket.tenantLimits = c.limits.tenants[request.Tenant]
 	if !hasCapacity(ticket.routeLimits) || !hasCapacity(ticket.tenantLimits) {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -7,10 +7,10 @@
 	"verbenaway/core"
 )
 
-// rankOf returns the rank of a route's requests in the queue, lower first: by priority, and
-// lookups first within a priority.
-func rankOf(route core.RouteSpec) int {
-	rank := 2 * route.Priority
+// rankOf returns the rank of a route's requests of a priority in the queue, lower first: by priority,
+// and lookups first within a priority.
+func rankOf(route core.RouteSpec, priority int) int {
+	rank := 2 * priority
 	if route.Class != core.ClassLookup {
 		rank++
 	}
@@ -87,7 +87,7 @@
 	highest := 0
 	for _, route := range snapshot.Routes {
 		if mapsTo(route, service) {
-			highest = max(highest, rankOf(route))
+			highest = max(highest, rankOf(route, route.Priority))
 		}
 	}
 	return highest
--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -151,7 +151,7 @@
 		overall = time.Duration(defaultServiceTimeShare * float64(spec.LatencyTarget))
 	}
 	return Estimate{
-		QueueTime:    c.queueTimeForRank(now, rankOf(spec), overall),
+		QueueTime:    c.queueTimeForRank(now, rankOf(spec, spec.Priority), overall),
 		ServiceTime:  serviceTime,
 		FailureRatio: c.serviceTimes.failureRatio,
 	}
--- a/core/config.go
+++ b/core/config.go
@@ -166,8 +166,9 @@
 	Regions  map[Region]RegionSpec
 	Services map[ServiceName]ServiceSpec
 	Routes   map[RouteName]RouteSpec
-	Tenants  map[TenantName]TenantSpec
-	Limits   map[string]LimitSpec
+	// Tenants is nil if the configuration has no list of tenants.
+	Tenants map[TenantName]TenantSpec
+	Limits  map[string]LimitSpec
 	// Labels holds the operator's names of routes from a Registry, which may change between
 	// versions.
 	Labels map[RouteName]string
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -15,6 +15,14 @@
 	// NormalizeRequest turns the headers of a caller into those that the request is passed on
 	// with.
 	NormalizeRequest(header http.Header)
+	// APIKey returns the API key of a request; ok is false if the request has none, or one in
+	// another form than the platform's.
+	APIKey(header http.Header) (key string, ok bool)
+	// RemoveIdentity removes the API key of a caller, and the tenant that it claims to be, from the
+	// headers that a request is passed on with.
+	RemoveIdentity(header http.Header)
+	// SetTenant sets the tenant of a request for an upstream.
+	SetTenant(header http.Header, tenant TenantName)
 	// SetUpstreamHeaders sets the headers that an upstream expects. The instance is
 	// Host.Instance, and left the time to the deadline.
 	SetUpstreamHeaders(header http.Header, instance string, left time.Duration)
@@ -93,6 +101,8 @@
 	RequestID string
 	Route     RouteName
 	Service   ServiceName
+	// Tenant is empty for requests without a tenant.
+	Tenant TenantName
 	// Host is the host of the upstream concerned, empty if there is none.
 	Host     HostName
 	Instance string
--- a/core/follow/view.go
+++ b/core/follow/view.go
@@ -40,6 +40,7 @@
 			Regions:  s.regions(),
 			Services: newest.Services,
 			Routes:   newest.Routes,
+			Tenants:  newest.Tenants,
 			Labels:   newest.Labels,
 			Out:      out,
 
--- a/core/kind.go
+++ b/core/kind.go
@@ -14,6 +14,7 @@
 const (
 	BadRequest        ErrorKind = "badRequest"
 	TooLarge          ErrorKind = "tooLarge"
+	Unauthenticated   ErrorKind = "unauthenticated"
 	NoRoute           ErrorKind = "noRoute"
 	HomeRegion        ErrorKind = "homeRegion"
 	DepthExceeded     ErrorKind = "depthExceeded"
@@ -84,6 +85,7 @@
 var ErrorKinds = []ErrorKindInfo{
 	{Kind: BadRequest, Status: http.StatusBadRequest, NotRun: true, Meaning: "The request is malformed.", Action: "Correct the request."},
 	{Kind: TooLarge, Status: http.StatusRequestHeaderFieldsTooLarge, NotRun: true, Meaning: "The headers are too large.", Action: "Send smaller headers."},
+	{Kind: Unauthenticated, Status: http.StatusUnauthorized, NotRun: true, Meaning: "The request has no API key that the configuration in force knows, and its route is not open.", Action: "Send the key of a tenant, or add the key to its tenant."},
 	{Kind: NoRoute, Status: http.StatusNotFound, NotRun: true, Meaning: "No route matches host, path, method and tenant.", Action: "Run verbenactl explain with the request."},
 	{Kind: HomeRegion, Status: http.StatusForbidden, NotRun: true, Meaning: "The request may not be served in this region.", Action: "Send it to a daemon in one of its home regions."},
 	{Kind: DepthExceeded, Status: http.StatusLoopDetected, NotRun: true, Meaning: "The chain of calls is longer than 8.", Action: "Look for a loop between services."},
--- a/core/registry.go
+++ b/core/registry.go
@@ -62,7 +62,7 @@
 // for a value that cannot be decoded.
 type RegistryChange struct {
 	RegistryItem
-	// Config has only version, services and routes.
+	// Config has only version, services, routes and tenants.
 	Config *Snapshot
 	// Zone is the availability zone that the key takes out.
 	Zone AvailabilityZone
--- a/core/tenant.go
+++ b/core/tenant.go
@@ -14,6 +14,12 @@
 	return sha256.Sum256([]byte(key))
 }
 
+// RequiresKeys reports whether requests need the API key of a tenant, unless their route is open. It
+// holds for an empty list of tenants too: taking away the last tenant opens no route.
+func (s *Snapshot) RequiresKeys() bool {
+	return s.Tenants != nil
+}
+
 // QuotaSpec bounds the requests of a tenant over all daemons together.
 type QuotaSpec struct {
 	// RequestsPerSecond is at least 0; 0 means that there is no quota.
--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -19,7 +19,7 @@
 )
 
 // fakeDialect uses the headers X-Id, X-Wait (the timeout in milliseconds), X-Instance, X-NotRun,
-// X-Signed and X-Kind.
+// X-Signed, X-Kind, X-Key (the API key) and X-Tenant.
 type fakeDialect struct{}
 
 func (fakeDialect) Timeout(header http.Header) (time.Duration, bool, error) {
@@ -30,6 +30,20 @@
 func (fakeDialect) RequestID(header http.Header) string { return header.Get("X-Id") }
 func (fakeDialect) NormalizeRequest(http.Header)        {}
 
+func (fakeDialect) APIKey(header http.Header) (string, bool) {
+	key := header.Get("X-Key")
+	return key, key != ""
+}
+
+func (fakeDialect) RemoveIdentity(header http.Header) {
+	header.Del("X-Key")
+	header.Del("X-Tenant")
+}
+
+func (fakeDialect) SetTenant(header http.Header, tenant core.TenantName) {
+	header.Set("X-Tenant", string(tenant))
+}
+
 func (fakeDialect) SetUpstreamHeaders(header http.Header, instance string, left time.Duration) {
 	header.Set("X-Instance", instance)
 	header.Set("X-Wait", strconv.FormatInt(left.Milliseconds(), 10))
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -58,9 +58,11 @@
 	// Decisions logs the decisions on requests. Optional.
 	Decisions core.DecisionLog
 	// IsConfirmed reports whether the configuration was confirmed so recently that it is the one in
-	// force. While it is not, requests that no route matches are refused with core.SuspectView,
-	// since a newer configuration may have their route. Optional.
+	// force. While it is not, requests that no route matches or whose API key is not known are refused
+	// with core.SuspectView, since a newer configuration may have their route or key. Optional.
 	IsConfirmed func() bool
+	// Quotas bounds the requests of each tenant over all daemons. Optional.
+	Quotas core.Quotas
 }
 
 // Entry receives requests from callers and forwards them to the gatekeeper of an upstream. It
@@ -87,7 +89,9 @@
 
 // entryView holds what the entry derives from one snapshot.
 type entryView struct {
-	table        *route.Table
+	table *route.Table
+	// keys is nil if requests need no API keys.
+	keys         *route.KeyIndex
 	routeBudgets map[core.RouteName]core.RetryBudget
 	// serviceBudgets are used instead of routeBudgets if EntryConfig.NewBudget is set.
 	serviceBudgets map[core.ServiceName]core.RetryBudget
@@ -283,6 +287,9 @@
 		routeBudgets:   make(map[core.RouteName]core.RetryBudget, len(snapshot.Routes)),
 		serviceBudgets: make(map[core.ServiceName]core.RetryBudget, len(snapshot.Services)),
 	}
+	if e.config.Dialect != nil {
+		view.keys = route.NewKeyIndex(snapshot)
+	}
 	if previous == nil {
 		previous = &entryView{}
 	} else {
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -32,6 +32,8 @@
 	view        *entryView
 	header      http.Header
 	headerBytes int64
+	// tenant is empty for requests without a tenant.
+	tenant      core.TenantName
 	route       *route.Route
 	homeRegions *route.RegionSet
 	idempotent  bool
@@ -53,6 +55,8 @@
 	buffer *[]byte
 	pool   *bufferPool
 	stream *streamBody
+	// countedTenant is the tenant towards whose quota the request was counted, "" if it was not.
+	countedTenant core.TenantName
 
 	// Changed by the attempts.
 	choice   route.Choice
@@ -409,6 +413,7 @@
 }
 
 func (c *call) refuse(kind core.ErrorKind, detail string) {
+	c.returnQuota()
 	c.entry.refusals.add(kind, detail)
 	if c.stream != nil {
 		c.stream.stopAndWait(c.reply.control)
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -43,6 +43,7 @@
 		(*call).setDepth,
 		(*call).matchRoute,
 		(*call).setDeadline,
+		(*call).takeQuota,
 		(*call).readBody,
 	} {
 		if refusal, detail := step(c); refusal != "" {
@@ -143,15 +144,19 @@
 // repeated before another attempt if the configuration has changed.
 func (c *call) matchRoute() (core.ErrorKind, string) {
 	request := c.request
+	c.tenant = c.identifyTenant()
 	query := route.Request{
 		Host:   request.Host,
 		Path:   request.URL.Path,
 		Method: request.Method,
-		Tenant: core.TenantName(firstValue(request.Header, keyTenant)),
+		Tenant: c.tenant,
 	}
 	match, kind := c.view.table.Match(query)
 	switch kind {
 	case "":
+		if refusal, detail := c.checkIdentity(match.Route); refusal != "" {
+			return refusal, detail
+		}
 	case core.HomeRegion:
 		return kind, fmt.Sprintf("tenant %q is not known in region %s", query.Tenant, c.entry.config.Self.Region)
 	case core.NoUpstream:
@@ -194,6 +199,7 @@
 	if c.isClaimed {
 		c.header[keyClaimed] = claimedValue
 	}
+	c.setIdentity()
 	delete(c.header, keyHomeRegions)
 	if !c.homeRegions.IsUnrestricted() {
 		c.header[keyHomeRegions] = []string{c.homeRegions.String()}
--- a/io/proxy/entry_decide.go
+++ b/io/proxy/entry_decide.go
@@ -48,6 +48,7 @@
 	decision := core.Decision{
 		Kind:     kind,
 		Service:  c.service.Name,
+		Tenant:   c.tenant,
 		Host:     c.choice.Host.Name,
 		Instance: c.choice.Host.Instance,
 		Attempt:  c.attempts,
--- /dev/null
+++ b/io/proxy/entry_tenant.go
@@ -0,0 +1,77 @@
+package proxy
+
+import (
+	"fmt"
+
+	"verbenaway/core"
+	"verbenaway/core/route"
+)
+
+// identifyTenant returns the tenant of the request, "" if it has none. Where requests need API keys,
+// the key alone decides, on open routes too; otherwise callers name their tenant themselves.
+func (c *call) identifyTenant() core.TenantName {
+	if c.view.keys == nil {
+		return core.TenantName(firstValue(c.request.Header, keyTenant))
+	}
+	key, ok := c.entry.config.Dialect.APIKey(c.request.Header)
+	if !ok {
+		return ""
+	}
+	tenant, _ := c.view.keys.Tenant(key)
+	return tenant
+}
+
+// checkIdentity refuses a request without a tenant unless its route is open. While the configuration is
+// not confirmed, a newer one may have the key, and the request may be sent again.
+func (c *call) checkIdentity(matched *route.Route) (core.ErrorKind, string) {
+	if c.view.keys == nil || c.tenant != "" || matched.Spec.IsOpen {
+		return "", ""
+	}
+	detail := "the API key is not known"
+	if _, ok := c.entry.config.Dialect.APIKey(c.request.Header); !ok {
+		detail = "the API key is missing or has another form than accepted"
+	}
+	detail = fmt.Sprintf("%s; route %s needs one", detail, matched.Spec.Name)
+	if isConfirmed := c.entry.config.IsConfirmed; isConfirmed != nil && !isConfirmed() {
+		return core.SuspectView, detail + ", and the configuration is not confirmed"
+	}
+	return core.Unauthenticated, detail
+}
+
+// setIdentity replaces the API key and the tenant that the caller has set by the tenant that holds the
+// key. The gatekeeper passes it on to the upstream.
+func (c *call) setIdentity() {
+	if c.view.keys == nil {
+		return
+	}
+	c.entry.config.Dialect.RemoveIdentity(c.header)
+	delete(c.header, keyTenant)
+	if c.tenant != "" {
+		c.header[keyTenant] = []string{string(c.tenant)}
+	}
+}
+
+// takeQuota counts the request towards the quota of its tenant. An early request that is not going to be
+// started is counted when the server has read it.
+func (c *call) takeQuota() (core.ErrorKind, string) {
+	quotas := c.entry.config.Quotas
+	if quotas == nil || c.tenant == "" || c.isEarly && !c.idempotent {
+		return "", ""
+	}
+	decision := quotas.Take(c.entry.config.Clock.Now(), c.tenant)
+	if !decision.IsWithin {
+		c.retryAfter = decision.RetryAfter
+		return core.Limited, fmt.Sprintf("tenant %s is over its quota", c.tenant)
+	}
+	c.countedTenant = c.tenant
+	return "", ""
+}
+
+// returnQuota gives the request back to the quota of its tenant if no upstream has received it.
+func (c *call) returnQuota() {
+	if c.countedTenant == "" || c.mayHaveRun || c.receivedAttempts > 0 {
+		return
+	}
+	c.entry.config.Quotas.Return(c.entry.config.Clock.Now(), c.countedTenant)
+	c.countedTenant = ""
+}
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -165,6 +165,10 @@
 		if dialect := c.gate.config.Dialect; dialect != nil {
 			delete(request.Header, keyTimeout)
 			dialect.SetUpstreamHeaders(request.Header, c.instance, time.Duration(max(left, 1))*time.Millisecond)
+			if tenant := c.admitRequest.Tenant; tenant != "" {
+				delete(request.Header, keyTenant)
+				dialect.SetTenant(request.Header, tenant)
+			}
 		} else {
 			request.Header[keyTimeout] = []string{strconv.FormatInt(max(left, 1), 10)}
 		}
