--- a/io/proxy/early_test.go
+++ b/io/proxy/early_test.go
@@ -283,3 +283,17 @@
 		}
 	}
 }
+
+// readStatuses returns the statuses of the next answers.
+func readStatuses(c *qt.C, conn net.Conn, count int) []int {
+	reader := bufio.NewReader(conn)
+	statuses := make([]int, count)
+	for i := range statuses {
+		response, err := http.ReadResponse(reader, nil)
+		c.Assert(err, qt.IsNil)
+		_, err = io.Copy(io.Discard, response.Body)
+		c.Assert(err, qt.IsNil)
+		statuses[i] = response.StatusCode
+	}
+	return statuses
+}
