--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -304,3 +304,51 @@
 	c.Assert(controller.Finish(at(1104), running[1], true), qt.HasLen, 0)
 	c.Assert(controller.InFlight(), qt.Equals, 2)
 }
+
+// TestTenantPriority guards against a queue that ignores the priority of a tenant, which takes precedence
+// over that of the route.
+func TestTenantPriority(t *testing.T) {
+	c := qt.New(t)
+	controller := newController(func(s *core.Snapshot) {
+		lookup := s.Routes["lookup"]
+		lookup.Priority = 1
+		s.Routes["lookup"] = lookup
+		s.Tenants = map[core.TenantName]core.TenantSpec{
+			"first":  {HasPriority: true},
+			"last":   {HasPriority: true, Priority: 2},
+			"routes": {},
+		}
+	})
+	var running []*admit.Ticket
+	for {
+		decision, ticket := offer(controller, at(1), "lookup")
+		if decision.Wait {
+			controller.Abandon(ticket)
+			break
+		}
+		c.Assert(decision.Kind, qt.Equals, core.ErrorKind(""))
+		running = append(running, ticket)
+	}
+	waiting := map[*admit.Ticket]core.TenantName{}
+	for _, tenant := range []core.TenantName{"last", "routes", "first"} {
+		ticket := &admit.Ticket{}
+		decision := controller.Offer(at(2), admit.Request{
+			Route:    "lookup",
+			Tenant:   tenant,
+			Deadline: at(1000),
+		}, ticket)
+		c.Assert(decision.Wait, qt.IsTrue)
+		waiting[ticket] = tenant
+	}
+	var order []core.TenantName
+	for len(order) < len(waiting) {
+		ticket := running[0]
+		running = running[1:]
+		for _, wake := range controller.Finish(at(3), ticket, true) {
+			c.Assert(wake.Kind, qt.Equals, core.ErrorKind(""))
+			order = append(order, waiting[wake.Ticket])
+			running = append(running, wake.Ticket)
+		}
+	}
+	c.Assert(order, qt.DeepEquals, []core.TenantName{"first", "routes", "last"})
+}
--- a/core/route/keys.go
+++ b/core/route/keys.go
@@ -31,6 +31,11 @@
 // Tenant returns the tenant that holds a key; ok is false if none does. The look-up by digest takes as
 // long for a key that resembles a valid one as for any other.
 func (i *KeyIndex) Tenant(key string) (name core.TenantName, ok bool) {
-	name, ok = i.tenants[core.DigestKey(key)]
+	return i.TenantOf(core.DigestKey(key))
+}
+
+// TenantOf returns the tenant that holds the key with a digest; ok is false if none does.
+func (i *KeyIndex) TenantOf(digest core.KeyDigest) (name core.TenantName, ok bool) {
+	name, ok = i.tenants[digest]
 	return name, ok
 }
