--- a/io/proxy/entry_explain.go
+++ b/io/proxy/entry_explain.go
@@ -14,7 +14,7 @@
 	// same upstream, lower first.
 	Tenant      core.TenantName `json:"tenant,omitempty"`
 	Priority    int             `json:"priority"`
-	HomeRegions []core.Region  `json:"homeRegions,omitempty"`
+	HomeRegions []core.Region   `json:"homeRegions,omitempty"`
 	// Routes and Upstreams are in the order in which they are considered.
 	Routes    []route.Step         `json:"routes"`
 	Upstreams []route.UpstreamStep `json:"upstreams,omitempty"`
