--- a/io/opctl/opctl_test.go
+++ b/io/opctl/opctl_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -238,3 +239,34 @@
 		}
 	}
 }
+
+// TestCheckFindings guards against a check that passes a note whose entries contradict each other, and
+// against an output that programs cannot read.
+func TestCheckFindings(t *testing.T) {
+	c := qt.New(t)
+	first := filepath.Join(c.TempDir(), "0000000001.toml")
+	c.Assert(os.WriteFile(first, []byte(baseNote), 0o600), qt.IsNil)
+	draft := writeDraft(c, "version = 2\nagainst = 1\ncomment = \"\"\n"+`
+[[add.service]]
+name = "spare"
+slots = 4
+connections = 8
+coldSlots = 1
+warmUp = "1s"
+reservedSlots = 0
+`)
+	code, out, errOut := run("check", "--changes", "--after", filepath.Dir(first), draft)
+	c.Assert(code, qt.Equals, 0, qt.Commentf("%s%s", out, errOut))
+	c.Check(out, qt.Contains, "warning: service/spare: unusedService: no route has the service\nadded: service/spare\nok: ")
+	code, out, _ = run("check", "--json", "--after", filepath.Dir(first), draft)
+	c.Check(code, qt.Equals, 0)
+	var result struct {
+		IsOK     bool
+		Findings []struct{ Rule string }
+		Changes  []struct{ Action, Subject string }
+	}
+	c.Assert(json.Unmarshal([]byte(out), &result), qt.IsNil)
+	c.Check(result.IsOK, qt.IsTrue)
+	c.Check(result.Findings[len(result.Findings)-1].Rule, qt.Equals, "unusedService")
+	c.Check(result.Changes, qt.DeepEquals, []struct{ Action, Subject string }{{Action: "added", Subject: "service/spare"}})
+}
--- a/tools/reference/main.go
+++ b/tools/reference/main.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"verbenaway/core"
+	"verbenaway/core/lint"
 	"verbenaway/io/conf"
 	"verbenaway/io/daemon"
 	"verbenaway/io/opctl"
@@ -29,6 +30,7 @@
 		body  string
 	}{
 		{title: "Subcommands of verbenactl", body: opctl.Reference()},
+		{title: "Rules of verbenactl check", body: checkRules()},
 		{title: "Error kinds", body: errorKinds()},
 		{title: "Event kinds", body: eventKinds()},
 		{title: "Decisions on requests", body: decisionKinds()},
@@ -43,6 +45,16 @@
 	return text.String()
 }
 
+func checkRules() string {
+	var text strings.Builder
+	text.WriteString("A configuration with a finding of severity `error` does not pass the check; a `warning` is only printed.\n\n")
+	text.WriteString("| rule | severity | meaning | action |\n| --- | --- | --- | --- |\n")
+	for _, rule := range lint.Rules {
+		fmt.Fprintf(&text, "| `%s` | %s | %s | %s |\n", rule.Name, rule.Severity, rule.Meaning, rule.Action)
+	}
+	return text.String()
+}
+
 // errorKinds returns the table of error kinds. Each row has an anchor with the name of the kind,
 // so that other pages can link to it.
 func errorKinds() string {
