--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -61,6 +61,8 @@
 	// force. While it is not, requests that no route matches are refused with core.SuspectView,
 	// since a newer configuration may have their route. Optional.
 	IsConfirmed func() bool
+	// LinkRate is the speed of the host's link in bytes per second, 0 if unknown.
+	LinkRate int64
 }
 
 // Entry receives requests from callers and forwards them to the gatekeeper of an upstream. It
@@ -107,8 +109,9 @@
 	e := &Entry{
 		config: config,
 		balancer: route.NewBalancer(route.BalancerConfig{
-			Self:   config.Self,
-			Random: config.Random,
+			Self:     config.Self,
+			Random:   config.Random,
+			LinkRate: config.LinkRate,
 		}),
 		transport: newTransport(config.Dial),
 		sender:    []string{string(config.Self.Name)},
