--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,13 +16,18 @@
 	Self core.Host
 	// Random returns uniformly distributed numbers. It must be safe for concurrent use.
 	Random func() uint64
+	// LinkRate is the speed of the local host's link in bytes per second, 0 if unknown.
+	LinkRate int64
 }
 
 // Balancer chooses the upstream of each attempt. It is safe for concurrent use. Choose takes
 // no lock unless members or snapshot changed or the request goes to another region.
 type Balancer struct {
-	config BalancerConfig
-	budget regionBudget
+	config  BalancerConfig
+	budget  regionBudget
+	answers answerSizes
+	// serviceTimes holds the mean service time of each route over all upstreams.
+	serviceTimes routeTimes
 	// mu guards writes to services and to the states in it.
 	mu       sync.Mutex
 	services atomic.Pointer[map[core.ServiceName]*serviceState]
@@ -32,6 +38,8 @@
 	group atomic.Pointer[group]
 	// upstreams holds the state of each host. It is kept when the group is rebuilt.
 	upstreams map[core.HostName]*upstream
+	// zones holds the load of each availability zone that has an upstream.
+	zones map[core.AvailabilityZone]*zoneLoad
 }
 
 // group holds the upstreams of one service by locality, for one member list and one snapshot.
@@ -54,6 +62,8 @@
 	region    core.Region
 	distance  int
 	upstreams []*upstream
+	// growth is kept while the group is in use.
+	growth *growth
 }
 
 // Query describes one attempt.
@@ -87,7 +97,25 @@
 	// within which its answer is expected.
 	answerRate      int64
 	expectedLatency time.Duration
-	upstream        *upstream
+	// latency is the expected time to the whole answer, queue time included.
+	latency time.Duration
+	// localLatency is the expected latency of the best upstream of the local availability zone if
+	// ChooseByCost has chosen one of another zone, 0 if there was none.
+	localLatency time.Duration
+	isAway       bool
+	upstream     *upstream
+}
+
+// AwayReason says why an upstream of another availability zone was chosen, "" if none was or if Choose
+// has chosen it.
+func (c Choice) AwayReason() string {
+	switch {
+	case !c.isAway:
+		return ""
+	case c.localLatency == 0:
+		return "no upstream of the own zone is eligible"
+	}
+	return fmt.Sprintf("expected in %s, in the own zone in %s", c.latency.Round(time.Millisecond), c.localLatency.Round(time.Millisecond))
 }
 
 // NewBalancer returns a balancer without state; upstreams are added by the first queries.
@@ -114,7 +142,7 @@
 
 // Choose returns the upstream for one attempt; ok is false if there is none.
 func (b *Balancer) Choose(now time.Time, query Query) (choice Choice, ok bool) {
-	g := b.group(query)
+	g := b.group(&query)
 	for _, tiers := range [][]tier{g.alive, g.suspect} {
 		for round := withFreeSlot; round <= anyUpstream; round++ {
 			if choice, ok = b.chooseFromTiers(now, query, g, tiers, round); ok {
@@ -147,7 +175,7 @@
 			continue
 		}
 		u := b.pickOfTwo(now, query, g, t, round)
-		if u != nil && b.budget.take(now, b.crossRegionRate(query), query.Bytes, query.DeclaredBytes) {
+		if u != nil && b.budget.take(now, b.crossRegionRate(&query), query.Bytes, query.DeclaredBytes) {
 			return newChoice(u, true), true
 		}
 	}
@@ -171,7 +199,7 @@
 		if round == withFreeSlot {
 			return u
 		}
-		if score, _ := u.score(now, g.slots); best == nil || score < bestScore {
+		if score, _ := u.score(momentOf(now), g.slots); best == nil || score < bestScore {
 			best, bestScore = u, score
 		}
 	}
@@ -188,8 +216,8 @@
 	if other == nil {
 		return a
 	}
-	scoreA, _ := a.score(now, g.slots)
-	scoreB, _ := other.score(now, g.slots)
+	scoreA, _ := a.score(momentOf(now), g.slots)
+	scoreB, _ := other.score(momentOf(now), g.slots)
 	if scoreB < scoreA {
 		return other
 	}
@@ -223,13 +251,13 @@
 	}
 	switch round {
 	case withFreeSlot:
-		if u.inBackoff(now) {
+		if u.inBackoff(momentOf(now)) {
 			return false
 		}
-		_, full := u.score(now, g.slots)
+		_, full := u.score(momentOf(now), g.slots)
 		return !full
 	case notInBackoff:
-		return !u.inBackoff(now)
+		return !u.inBackoff(momentOf(now))
 	default:
 		return true
 	}
@@ -245,7 +273,7 @@
 }
 
 // crossRegionRate returns the cross-region budget of the local region in bytes per second.
-func (b *Balancer) crossRegionRate(query Query) int64 {
+func (b *Balancer) crossRegionRate(query *Query) int64 {
 	return query.Snapshot.Regions[b.config.Self.Region].CrossRegionBytesPerSecond
 }
 
@@ -253,7 +281,7 @@
 // in an availability zone taken out, since it then has another upstream run the request. ok is
 // false if the host is dead or no member, outside the home regions or over the cross-region budget.
 func (b *Balancer) ChooseOwner(now time.Time, query Query, host core.HostName) (choice Choice, ok bool) {
-	g := b.group(query)
+	g := b.group(&query)
 	for _, tiers := range [][]tier{g.alive, g.suspect, g.excluded} {
 		for _, t := range tiers {
 			for _, u := range t.upstreams {
@@ -261,7 +289,7 @@
 					continue
 				}
 				other := t.distance == otherRegion
-				if !query.HomeRegions.Allows(t.region) || other && !b.budget.take(now, b.crossRegionRate(query), query.Bytes, query.DeclaredBytes) {
+				if !query.HomeRegions.Allows(t.region) || other && !b.budget.take(now, b.crossRegionRate(&query), query.Bytes, query.DeclaredBytes) {
 					return Choice{}, false
 				}
 				return newChoice(u, other), true
@@ -278,13 +306,13 @@
 
 // RecordLoad records the load that an upstream reported.
 func (b *Balancer) RecordLoad(now time.Time, choice Choice, inFlight, limit int) {
-	choice.upstream.report(now, inFlight, limit)
+	choice.upstream.report(momentOf(now), inFlight, limit)
 }
 
 // RecordRefusal records a refusal of the given kind, which is NoUpstream for a failed connection.
 func (b *Balancer) RecordRefusal(now time.Time, choice Choice, kind core.ErrorKind) {
 	if policy, ok := backoffs[kind]; ok {
-		choice.upstream.refused(now, policy, b.config.Random())
+		choice.upstream.refused(momentOf(now), policy, b.config.Random())
 	}
 }
 
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"iter"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -63,6 +64,8 @@
 	IsConfirmed func() bool
 	// Quotas bounds the requests of each tenant over all daemons. Optional.
 	Quotas core.Quotas
+	// LinkRate is the speed of the host's link in bytes per second, 0 if unknown.
+	LinkRate int64
 }
 
 // Entry receives requests from callers and forwards them to the gatekeeper of an upstream. It
@@ -111,14 +114,17 @@
 	e := &Entry{
 		config: config,
 		balancer: route.NewBalancer(route.BalancerConfig{
-			Self:   config.Self,
-			Random: config.Random,
+			Self:     config.Self,
+			Random:   config.Random,
+			LinkRate: config.LinkRate,
 		}),
 		transport: newTransport(config.Dial),
 		sender:    []string{string(config.Self.Name)},
 		idle:      make(chan struct{}, 1),
 	}
 	e.Counters.Refusals = new(expvar.Map).Init()
+	e.Counters.OtherZoneTraffic = new(expvar.Map).Init()
+	e.Counters.OtherRegionTraffic = new(expvar.Map).Init()
 	e.refusals = newRefusalLog(&e.config, &e.Counters)
 	return e
 }
@@ -224,6 +230,11 @@
 	c.run()
 }
 
+// ExpectedAnswerBytes yields the mean size of the answers of each route that has had one.
+func (e *Entry) ExpectedAnswerBytes() iter.Seq2[core.RouteName, int64] {
+	return e.balancer.ExpectedAnswers()
+}
+
 func (e *Entry) endRequest() {
 	if e.inFlight.Add(-1) == 0 && e.draining.Load() {
 		select {
@@ -294,6 +305,7 @@
 		previous = &entryView{}
 	} else {
 		view.table.InheritSplits(previous.table)
+		e.balancer.ForgetRoutes(snapshot)
 	}
 	if e.config.NewBudget != nil {
 		for name := range snapshot.Services {
--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -71,6 +71,28 @@
 	return err
 }
 
+// countAnswer records an answer that was passed on completely.
+func (c *call) countAnswer() {
+	c.entry.Counters.Answers.Add(1)
+	if c.reply.status < http.StatusMultipleChoices {
+		c.entry.balancer.RecordAnswerBytes(c.route.Spec.Name, c.reply.bytes)
+	}
+	c.countTraffic(c.reply.bytes)
+	c.logAnswer("", c.reply.status, "")
+}
+
+// countTraffic counts bytes that are exchanged with the chosen upstream if it is in another availability
+// zone or region.
+func (c *call) countTraffic(bytes int64) {
+	self, counters := &c.entry.config.Self, &c.entry.Counters
+	switch {
+	case c.choice.OtherRegion:
+		counters.OtherRegionTraffic.Add(string(c.route.Spec.Name), bytes)
+	case c.choice.Host.AvailabilityZone != self.AvailabilityZone:
+		counters.OtherZoneTraffic.Add(string(c.route.Spec.Name), bytes)
+	}
+}
+
 // end removes the write deadline, which would otherwise apply to the next answer on the
 // connection.
 func (r *reply) end() {
@@ -91,29 +113,67 @@
 
 // recordLoad records the load of an upstream from the value of HeaderLoad.
 func (c *call) recordLoad(text string) {
-	var numbers [5]int
+	report, form := parseLoad(text)
+	balancer, now := c.entry.balancer, c.entry.config.Clock.Now()
+	switch form {
+	case loadOnly:
+		balancer.RecordLoad(now, c.choice, report.InFlight, report.Limit)
+	case loadWithEstimate:
+		balancer.RecordLoadReport(now, c.choice, c.route.Spec.Name, report)
+	case loadInvalid:
+	}
+}
+
+// loadForm tells what a value of HeaderLoad holds.
+type loadForm int
+
+const (
+	loadInvalid loadForm = iota
+	// loadOnly is the number of requests in flight and the limit.
+	loadOnly
+	// loadWithEstimate is a whole report, in which numbers that older daemons do not send are 0.
+	loadWithEstimate
+)
+
+// The counts of numbers in the forms of HeaderLoad.
+const (
+	loadNumbers         = 2
+	estimateNumbers     = 5
+	moreEstimateNumbers = 8
+)
+
+// parseLoad parses a value of HeaderLoad.
+func parseLoad(text string) (route.LoadReport, loadForm) {
+	var numbers [moreEstimateNumbers]int
 	count := 0
 	for part := range strings.SplitSeq(text, "/") {
+		if count == len(numbers) {
+			break
+		}
 		number, err := strconv.Atoi(part)
-		if err != nil || number < 0 || count == len(numbers) {
-			return
+		if err != nil || number < 0 {
+			return route.LoadReport{}, loadInvalid
 		}
 		numbers[count] = number
 		count++
 	}
-	balancer, now := c.entry.balancer, c.entry.config.Clock.Now()
+	report := route.LoadReport{
+		InFlight:     numbers[0],
+		Limit:        numbers[1],
+		QueueTime:    time.Duration(numbers[2]) * time.Microsecond,
+		ServiceTime:  time.Duration(numbers[3]) * time.Microsecond,
+		FailureRatio: float64(numbers[4]) / permille,
+		Slowness:     float64(numbers[5]) / percent,
+		LinkRate:     int64(numbers[6]),
+		LinkWait:     time.Duration(numbers[7]) * time.Microsecond,
+	}
 	switch count {
-	case 2:
-		balancer.RecordLoad(now, c.choice, numbers[0], numbers[1])
-	case len(numbers):
-		balancer.RecordLoadReport(now, c.choice, c.route.Spec.Name, route.LoadReport{
-			InFlight:     numbers[0],
-			Limit:        numbers[1],
-			QueueTime:    time.Duration(numbers[2]) * time.Microsecond,
-			ServiceTime:  time.Duration(numbers[3]) * time.Microsecond,
-			FailureRatio: float64(numbers[4]) / permille,
-		})
+	case loadNumbers:
+		return report, loadOnly
+	case estimateNumbers, moreEstimateNumbers:
+		return report, loadWithEstimate
 	}
+	return route.LoadReport{}, loadInvalid
 }
 
 // refusal returns the result that the headers of a refusal report, or false for an answer of the
