--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -61,6 +61,8 @@
 	// force. While it is not, requests that no route matches are refused with core.SuspectView,
 	// since a newer configuration may have their route. Optional.
 	IsConfirmed func() bool
+	// LinkBytesPerSecond is the speed of the link of the host, 0 if it is unknown.
+	LinkBytesPerSecond float64
 }
 
 // Entry receives requests from callers and forwards them to the gatekeeper of an upstream. It
