--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -1,10 +1,10 @@
 package admit
 
 import (
-	"slices"
 	"time"
 
 	"verbenaway/core"
+	"verbenaway/core/room"
 )
 
 // DefaultMaxWait bounds the time in the queue of a request without a target. An upstream that frees
@@ -27,6 +27,8 @@
 	// IsRegistered says that the upstream registers itself on the platform. Its slots and its
 	// cold starts then come from SetUpstream instead of the ramp.
 	IsRegistered bool
+	// LinkRate is the speed of the host's link in bytes per second, 0 if unknown.
+	LinkRate int64
 }
 
 // Request holds the properties of a request that admission depends on.
@@ -43,9 +45,12 @@
 	Service core.ServiceName
 	// Target is the time after which an answer counts as late, zero if there is none.
 	Target time.Time
-	// NoWait refuses the request instead of queueing it, because another upstream seems to have
-	// a free slot.
+	// NoWait refuses the request instead of queueing it for more than a moment, because another
+	// upstream seems to have a free slot.
 	NoWait bool
+	// BodyBytes is the size of a body that the sender holds back until the request gets its slot, 0
+	// if there is none.
+	BodyBytes int64
 }
 
 // Ticket is the state of one request under admission control. The caller allocates it and
@@ -56,7 +61,7 @@
 
 	request  Request
 	class    core.RequestClass
-	rank     int
+	claim    room.Claim
 	isFailed bool
 	state    ticketState
 	// epoch and suspicion are those of the ramp when the request got its slot.
@@ -66,8 +71,10 @@
 	// answersPerSecond is the part of this request in Controller.answersPerSecond.
 	answersPerSecond float64
 	waitDeadline     time.Time
-	routeLimits      []*requestLimit
-	tenantLimits     []*requestLimit
+	// arrivingBytes is the part of this request in Controller.link.
+	arrivingBytes int64
+	routeLimits   []*requestLimit
+	tenantLimits  []*requestLimit
 }
 
 type ticketState int
@@ -96,6 +103,8 @@
 	Ticket *Ticket
 	Kind   core.ErrorKind
 	Detail string
+	// RetryAfter is the time after which a refused request may get a slot, 0 if unknown.
+	RetryAfter time.Duration
 }
 
 // Controller is the admission control of one upstream. It is not safe for concurrent use.
@@ -108,13 +117,19 @@
 	// inFlight counts the requests that hold a slot, and bulkInFlight those of class bulk.
 	inFlight     int
 	bulkInFlight int
-	// queue holds the waiting requests by rank and then by arrival.
-	queue    []*Ticket
+	// queue holds the waiting requests in the order of their arrival.
+	queue []*Ticket
+	// passedOver counts the latest grants for which a less urgent request had to wait on.
+	passedOver int
+	// offered averages the work of all requests, and demand that of those that got a slot.
+	offered  room.Demand
+	demand   room.Demand
 	draining bool
 	// upstream is the record given to SetUpstream, nil if there is none.
 	upstream         *Upstream
 	assumedColdUntil time.Time
 	starts           startWindow
+	link             room.Link
 	serviceTimes     serviceTimes
 	slowness         slowness
 	// answeredAt is the time of the latest answer, or of the first start after it if no request
@@ -122,9 +137,9 @@
 	answeredAt time.Time
 	// answersPerSecond is how many answers a second to expect from the running requests.
 	answersPerSecond float64
-	// maxRank is the highest rank of the requests that the upstream may get.
-	maxRank int
-	wakes   []Wake
+	// lastClaim is that of the least urgent requests that the upstream may get.
+	lastClaim room.Claim
+	wakes     []Wake
 }
 
 // New returns a controller that assumes a cold upstream.
@@ -135,6 +150,9 @@
 	return &Controller{
 		config: config,
 		limits: newLimitSet(),
+		link: room.Link{
+			BytesPerSecond: float64(config.LinkRate),
+		},
 	}
 }
 
@@ -149,7 +167,7 @@
 	c.snapshot = snapshot
 	c.service = snapshot.Services[c.serviceName()]
 	c.ramp.configure(c.service)
-	c.maxRank = maxRankOf(snapshot, c.serviceName())
+	c.lastClaim = lastClaimOf(snapshot, c.serviceName())
 	c.serviceTimes.prune(snapshot.Routes)
 	c.limits.configure(now, snapshot)
 	c.refuseWaiting(func(ticket *Ticket) (core.ErrorKind, string) {
@@ -170,8 +188,24 @@
 	return c.wakes
 }
 
-// Offer decides on a new request; Configure must have been called before.
+// Offer decides on a new request; Configure must have been called before. A request that has to wait
+// may displace another one, or itself: see Displaced.
 func (c *Controller) Offer(now time.Time, request Request, ticket *Ticket) Decision {
+	c.wakes = c.wakes[:0]
+	decision := c.decide(now, request, ticket)
+	if decision.Wait {
+		c.displace(now)
+	}
+	return decision
+}
+
+// Displaced returns the wakes of the requests that the latest Offer displaced. The result is valid until
+// the next call.
+func (c *Controller) Displaced() []Wake {
+	return c.wakes
+}
+
+func (c *Controller) decide(now time.Time, request Request, ticket *Ticket) Decision {
 	if c.draining {
 		return refuse(core.Leaving, "the daemon is leaving")
 	}
@@ -184,13 +218,14 @@
 	}
 	ticket.request = request
 	ticket.class = route.Class
-	ticket.rank = rankOf(route, c.snapshot.RequestPriority(&route, request.Tenant))
+	ticket.claim = c.claimOf(now, &route, &ticket.request)
+	c.offered.Add(now, ticket.claim.Priority, ticket.claim.ServiceTime)
 	ticket.routeLimits = c.limits.routes[request.Route]
 	ticket.tenantLimits = c.limits.tenants[request.Tenant]
 	if !hasCapacity(ticket.routeLimits) || !hasCapacity(ticket.tenantLimits) {
 		return refuse(core.Limited, "too many requests at once")
 	}
-	wait := !c.canRun(now, ticket.class) || c.queuePosition(ticket.rank) > 0
+	wait := !c.canRun(now, ticket) || c.isAheadRunnable(now, ticket)
 	if wait && !c.canWait(now, ticket) {
 		decision := refuse(c.busyKind(now), "every slot is in use")
 		decision.RetryAfter = c.expectedQueueTime(now, ticket)
@@ -214,9 +249,7 @@
 	if ticket.state != ticketWaiting {
 		return false
 	}
-	if i := slices.Index(c.queue, ticket); i >= 0 {
-		c.queue = slices.Delete(c.queue, i, i+1)
-	}
+	c.remove(ticket)
 	c.releaseWaiting(ticket)
 	return true
 }
@@ -253,6 +286,23 @@
 	c.ramp.suspectRestart()
 }
 
+// BodyArrived reports that the whole body of a running request has arrived. The result is valid until
+// the next call.
+func (c *Controller) BodyArrived(now time.Time, ticket *Ticket) []Wake {
+	c.wakes = c.wakes[:0]
+	if ticket.arrivingBytes == 0 {
+		return nil
+	}
+	c.endBody(ticket)
+	c.grant(now)
+	return c.wakes
+}
+
+func (c *Controller) endBody(ticket *Ticket) {
+	c.link.End(ticket.arrivingBytes)
+	ticket.arrivingBytes = 0
+}
+
 // Finish frees the slot of a request; success means that it got a complete answer. The result
 // is valid until the next call.
 func (c *Controller) Finish(now time.Time, ticket *Ticket, success bool) []Wake {
@@ -262,6 +312,7 @@
 	}
 	ticket.state = ticketDone
 	c.inFlight--
+	c.endBody(ticket)
 	c.answersPerSecond -= ticket.answersPerSecond
 	if success && !ticket.isFailed {
 		c.serviceTimes.recordDuration(ticket.request.Route, now.Sub(ticket.startedAt))
--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -118,6 +118,11 @@
 	return fmt.Sprintf("expected in %s, in the own zone in %s", c.latency.Round(time.Millisecond), c.localLatency.Round(time.Millisecond))
 }
 
+// ExpectedLatency returns the time within which an answer is expected, 0 without an upstream.
+func (c *Choice) ExpectedLatency() time.Duration {
+	return c.expectedLatency
+}
+
 // NewBalancer returns a balancer without state; upstreams are added by the first queries.
 func NewBalancer(config BalancerConfig) *Balancer {
 	b := &Balancer{
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -16,6 +16,7 @@
 	"verbenaway/core"
 	"verbenaway/core/dedup"
 	"verbenaway/core/retry"
+	"verbenaway/core/room"
 	"verbenaway/core/route"
 )
 
@@ -77,6 +78,7 @@
 	balancer  *route.Balancer
 	transport *entryTransport
 	refusals  *refusalLog
+	returns   returns
 	sender    []string
 	view      atomic.Pointer[entryView]
 	// mu is held while a new view is built.
@@ -100,6 +102,26 @@
 	serviceBudgets map[core.ServiceName]core.RetryBudget
 }
 
+// returns is a room.Returns for concurrent use.
+type returns struct {
+	mu      sync.Mutex
+	returns room.Returns
+}
+
+// add is Returns.Add.
+func (r *returns) add(path string, deadline, first time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.returns.Add(path, deadline, first)
+}
+
+// take is Returns.Take.
+func (r *returns) take(path string, deadline time.Time) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.returns.Take(path, deadline)
+}
+
 // NewEntry returns an entry that is ready to serve requests.
 func NewEntry(config EntryConfig) *Entry {
 	if config.Random == nil {
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -10,6 +10,7 @@
 
 	"verbenaway/core"
 	"verbenaway/core/retry"
+	"verbenaway/core/room"
 	"verbenaway/core/route"
 )
 
@@ -27,6 +28,11 @@
 	// request and has claimed it.
 	isClaimed bool
 	started   time.Time
+	// firstStarted is the start of the caller's first attempt, as far as it is known.
+	firstStarted time.Time
+	// callerDeadline is the deadline of the caller, zero if it is unknown. That of the route may come
+	// sooner.
+	callerDeadline time.Time
 
 	// Set by prepare.
 	view        *entryView
@@ -194,10 +200,16 @@
 	// minSearchTime is allowed for any target: the refusals of two upstreams in other regions
 	// take that long.
 	minSearchTime = 60 * time.Millisecond
+	// minReturnTime is the time left from which a caller can come back after a refusal. With less, a
+	// refusal is the end of the request, so that the search goes on as long as it can succeed.
+	minReturnTime = 150 * time.Millisecond
 )
 
 // isSearchOver reports whether the limits on refusals for lack of capacity are reached.
 func (c *call) isSearchOver(now time.Time) bool {
+	if c.isLastChance(now) {
+		return false
+	}
 	target := c.target
 	if target.IsZero() {
 		target = c.deadline
@@ -206,6 +218,13 @@
 	return c.capacityRefusals >= maxCapacityRefusals || now.Sub(c.started) > limit
 }
 
+// isLastChance reports whether the caller could not come back in time after a refusal, while an answer
+// may still be in time.
+func (c *call) isLastChance(now time.Time) bool {
+	left := c.deadline.Sub(now)
+	return left >= minSearchTime && left < minReturnTime && !c.callerDeadline.After(c.deadline)
+}
+
 // refresh applies the newest configuration before another attempt, which may come seconds after
 // the first one. An availability zone may have been taken out or the home regions changed since.
 func (c *call) refresh() (core.ErrorKind, string) {
@@ -280,7 +299,14 @@
 
 // isCapacityRefusal reports whether a gatekeeper refused the attempt for lack of capacity.
 func (r result) isCapacityRefusal() bool {
-	return !r.failure.ReachedUpstream && (r.failure.Kind == core.Overloaded || r.failure.Kind == core.Cold)
+	if r.failure.ReachedUpstream {
+		return false
+	}
+	switch r.failure.Kind {
+	case core.Overloaded, core.Cold, core.Displaced:
+		return true
+	}
+	return false
 }
 
 // setAttemptHeaders sets the headers for the gatekeeper that may differ between attempts.
@@ -435,7 +461,7 @@
 		status = dialect.SetRefusalHeaders(c.reply.w.Header(), core.Refusal{
 			Kind:       kind,
 			RequestID:  dialect.RequestID(c.request.Header),
-			RetryAfter: c.retryAfter,
+			RetryAfter: c.returnAfter(kind),
 		})
 	}
 	c.logAnswer(kind, status, detail)
@@ -445,6 +471,22 @@
 	}
 }
 
+// returnAfter returns when the caller of a request that found no room should come back, 0 if unknown.
+func (c *call) returnAfter(kind core.ErrorKind) time.Duration {
+	switch kind {
+	case core.Overloaded, core.Displaced, core.Cold:
+	default:
+		return c.retryAfter
+	}
+	if c.target.IsZero() || c.callerDeadline.IsZero() {
+		return c.retryAfter
+	}
+	config := &c.entry.config
+	now := config.Clock.Now()
+	random := float64(config.Random()>>11) / (1 << 53)
+	return room.ReturnAfter(c.retryAfter, c.choice.ExpectedLatency(), c.target.Sub(now), c.callerDeadline.Sub(now), random)
+}
+
 func isCanceled(kind core.ErrorKind) bool {
 	return kind == core.Canceled || kind == core.CanceledBeforeRun
 }
@@ -460,6 +502,7 @@
 
 // end releases the resources of the request. It also runs if the answer is aborted.
 func (c *call) end() {
+	c.recordFailed()
 	if c.stream != nil {
 		c.stream.stopAndWait(c.reply.control)
 	}
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -116,6 +116,8 @@
 			MaxWait:      config.MaxQueueWait,
 			WatchLatency: config.WatchLatency,
 			IsRegistered: config.Upstream != nil,
+
+			LinkRate: config.LinkRate,
 		}),
 		link: route.NewLink(config.LinkRate),
 		idle: make(chan struct{}, 1),
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -10,6 +10,7 @@
 	"verbenaway/core"
 	"verbenaway/core/admit"
 	"verbenaway/core/dedup"
+	"verbenaway/core/room"
 	"verbenaway/core/route"
 )
 
@@ -119,9 +120,22 @@
 		}
 		call.admitRequest.Target = call.started.Add(time.Duration(target) * time.Millisecond)
 	}
+	call.admitRequest.BodyBytes = heldBackBytes(r)
 	return call, "", ""
 }
 
+// heldBackBytes returns the size of a body that is sent only once the request is admitted. Such a
+// request announces it; an entry in the same process sends its body over no link.
+func heldBackBytes(r *http.Request) int64 {
+	if firstValue(r.Header, "Expect") == "" {
+		return 0
+	}
+	if r.ContentLength < 0 {
+		return room.UnknownBodyBytes
+	}
+	return r.ContentLength
+}
+
 // routeName returns the name of the request's route in a snapshot, "" if it has none. Names that operators
 // give need not stay the same in the next version, which the sender may have already or not yet; so
 // with a Dialect, whose paths are passed on literally, host and path identify the route.
@@ -193,6 +207,7 @@
 		c.ticket.Owner = c
 		c.wake = make(chan admit.Wake, 1)
 	}
+	g.deliverWakes(g.admission.Displaced())
 	c.inFlight, c.limit = g.load(now)
 	c.retryAfter = decision.RetryAfter
 	g.scheduleGrant(now)
@@ -229,9 +244,11 @@
 // the meantime.
 func (c *gateCall) handleWake(wake admit.Wake) (core.ErrorKind, string) {
 	if wake.Kind != "" {
+		c.retryAfter = wake.RetryAfter
 		return wake.Kind, wake.Detail
 	}
 	c.gate.counters.Admitted.Add(1)
+	c.countWait()
 	if snapshot, kind := c.gate.config.Config.Snapshot(); snapshot == nil {
 		c.gate.finish(&c.ticket, false)
 		return kind, "the daemon confirms its view"
@@ -239,6 +256,14 @@
 	return "", ""
 }
 
+// countWait counts the wait of a request that got a slot.
+func (c *gateCall) countWait() {
+	priority := strconv.Itoa(c.snapshot.RequestPriority(&c.route, c.admitRequest.Tenant))
+	counters := &c.gate.counters
+	counters.Waits.Add(priority, 1)
+	counters.WaitedMs.Add(priority, c.gate.config.Clock.Now().Sub(c.started).Milliseconds())
+}
+
 // configure applies the configuration and the registration of the upstream. The caller holds mu.
 func (g *Gate) configure(now time.Time, snapshot *core.Snapshot) {
 	if snapshot != nil {
@@ -313,6 +338,13 @@
 	}
 }
 
+// bodyArrived tells admission control that the whole body of a call has arrived.
+func (g *Gate) bodyArrived(ticket *admit.Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliverWakes(g.admission.BodyArrived(g.config.Clock.Now(), ticket))
+}
+
 // report tells admission control what was observed of the upstream, and updates the load. A
 // failed connection to an upstream that registers itself starts the connect backoff.
 func (c *gateCall) report(signal admit.Signal, bootID string) {
