--- a/core/lint/rules.go
+++ b/core/lint/rules.go
@@ -101,13 +101,6 @@
 		Action:   "Add a key, or withdraw the tenant.",
 		find:     findTenantsWithoutKey,
 	},
-	{
-		Name:     "noKeys",
-		Severity: SeverityError,
-		Meaning:  "Requests need API keys, and no tenant has one.",
-		Action:   "Add a key to a tenant.",
-		find:     findNoKeys,
-	},
 	{
 		Name:     "quotaWithoutBurst",
 		Severity: SeverityWarning,
@@ -316,24 +309,6 @@
 	}
 }
 
-func findNoKeys(config *core.Snapshot, report func(subject, detail string)) {
-	if !config.RequiresKeys() {
-		return
-	}
-	for _, tenant := range config.Tenants {
-		if len(tenant.Keys) > 0 {
-			return
-		}
-	}
-	open := 0
-	for _, route := range config.Routes {
-		if route.IsOpen {
-			open++
-		}
-	}
-	report("tenants", fmt.Sprintf("of %d routes only %d without authentication are served", len(config.Routes), open))
-}
-
 func findQuotasWithoutBurst(config *core.Snapshot, report func(subject, detail string)) {
 	for name, tenant := range config.Tenants {
 		if quota := tenant.Quota; !quota.IsUnlimited() && quota.RequestsPerSecond < 1 && quota.Burst < 1 {
