limit: one budget of memory and connections for each process

Cause: the bytes of a client were read before they were judged, each connection by itself: up to 64 KiB by the reader of pipelined requests and up to 1 MiB more by the HTTP server, whose parsed form of many small headers takes a multiple. Nothing bounded the number of connections, a second head could come byte by byte for two minutes, and the kernel's receive buffers grew.

The reader of pipelined requests judges a head while it arrives (431, 400) and before it is parsed (503 while memory is short, which is true: nothing was run). When the budget runs short, connections that cost most or yield least are closed first. The crowd tests run last and alone in make test.

--- /dev/null
+++ b/io/limit/budget.go
@@ -0,0 +1,290 @@
+package limit
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// BaseBytes is what the buffers and goroutines of an open connection take at most. The number of
+	// connections bounds them; they do not count as memory in use.
+	BaseBytes = 24 << 10
+	// headCopies is how many copies of a head exist while its request is served, and lineBytes what
+	// the parsed forms of a header line take beside its text.
+	headCopies = 2
+	lineBytes  = 1 << 10
+	// cheapHeadBytes is above what the head of an ordinary request takes.
+	cheapHeadBytes = 128 << 10
+	// relievedShare is the share of the memory that may still be in use after connections were closed
+	// for lack of it.
+	relievedShare = 0.9
+	// maxEmptyBytes bounds the line ends that are accepted before a request. Some clients send one pair
+	// after a body.
+	maxEmptyBytes = 16
+	// scanInterval is the time between two looks at the queues and ages of all connections.
+	scanInterval = 100 * time.Millisecond
+	// minScannedBytes is the queue below which bytes that wait in the kernel do not count. Every
+	// connection in use has some at times.
+	minScannedBytes = 64 << 10
+	// stalledTime is the time without progress after which an answer counts as one that is not read, and
+	// a body as one that does not come.
+	stalledTime = time.Second
+)
+
+// Config configures a Budget.
+type Config struct {
+	// Bytes bounds what all connections hold beyond BaseBytes, what the kernel has received for them
+	// included; 0 means no bound.
+	Bytes int64
+	// Conns bounds the number of connections, outgoing ones included; 0 means no bound.
+	Conns int
+	// HeadTimeout bounds the time from the first byte of a head to its end; 0 means no bound.
+	HeadTimeout time.Duration
+}
+
+// Counters count connections that were closed since the start of a Budget.
+type Counters struct {
+	// ForMemory and ForConns count those that were closed because memory or connections ran short,
+	// Refused new ones that were closed at once because all others were in use.
+	ForMemory atomic.Int64
+	ForConns  atomic.Int64
+	Refused   atomic.Int64
+	// Heads counts those whose head was too large, too slow, or empty lines only.
+	Heads atomic.Int64
+}
+
+// Budget is the memory and the number of connections that all listeners and dialers of a process share.
+// When it runs short, the connections that cost most and yield least are closed: first those without a
+// complete request, then idle ones, and those with a request in service last.
+type Budget struct {
+	Counters Counters
+
+	config atomic.Pointer[Config]
+	bytes  atomic.Int64
+	// closing is what closed connections held that the server has not finished with.
+	closing atomic.Int64
+	// outgoing counts the connections of dialers.
+	outgoing atomic.Int64
+
+	mu sync.Mutex
+	// conns holds the connections of listeners.
+	conns map[*Conn]struct{}
+}
+
+// NewBudget returns a budget; Watch must run for what depends on time.
+func NewBudget(config Config) *Budget {
+	b := &Budget{
+		conns: map[*Conn]struct{}{},
+	}
+	b.Configure(config)
+	return b
+}
+
+// Configure replaces the limits.
+func (b *Budget) Configure(config Config) {
+	b.config.Store(&config)
+}
+
+// Bytes returns the memory in use.
+func (b *Budget) Bytes() int64 {
+	return b.bytes.Load()
+}
+
+// Conns returns the number of connections of listeners and dialers.
+func (b *Budget) Conns() (incoming, outgoing int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.conns), int(b.outgoing.Load())
+}
+
+// Watch looks at all connections until ctx ends.
+func (b *Budget) Watch(ctx context.Context) {
+	ticker := time.NewTicker(scanInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			b.scan(now)
+		}
+	}
+}
+
+// scan counts the bytes that wait in the kernel and closes connections whose head takes too long.
+func (b *Budget) scan(now time.Time) {
+	config := b.config.Load()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c := range b.conns {
+		c.mu.Lock()
+		isLate := c.phase == Heading && config.HeadTimeout > 0 && now.Sub(c.since) > config.HeadTimeout
+		c.mu.Unlock()
+		if isLate {
+			b.Counters.Heads.Add(1)
+			b.evict(c)
+			continue
+		}
+		unread := c.queued()
+		if unread < minScannedBytes {
+			unread = 0
+		}
+		c.mu.Lock()
+		b.bytes.Add(unread - c.unread)
+		c.unread = unread
+		c.mu.Unlock()
+	}
+	b.relieve(now)
+}
+
+// draw changes the memory in use and closes connections if it runs short.
+func (b *Budget) draw(bytes int64) {
+	if b.bytes.Add(bytes) > b.maxBytes() && bytes > 0 {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.relieve(time.Now())
+	}
+}
+
+func (b *Budget) maxBytes() int64 {
+	if limit := b.config.Load().Bytes; limit > 0 {
+		return limit
+	}
+	return 1 << 62
+}
+
+// relieve closes connections until enough memory is free. The caller holds mu.
+func (b *Budget) relieve(now time.Time) {
+	limit := b.maxBytes()
+	if b.bytes.Load() <= limit {
+		return
+	}
+	for float64(b.bytes.Load()) > relievedShare*float64(limit) {
+		var worst *Conn
+		var worstCost int64
+		for c := range b.conns {
+			if cost := c.cost(now); cost > worstCost {
+				worst, worstCost = c, cost
+			}
+		}
+		if worst == nil {
+			return
+		}
+		b.Counters.ForMemory.Add(1)
+		b.evict(worst)
+	}
+}
+
+// admit adds a connection of a listener. If there are too many, it closes the one that yields least;
+// it returns nil if all others are in use.
+func (b *Budget) admit(conn net.Conn) *Conn {
+	now := time.Now()
+	c := newConn(b, conn, now)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit := b.config.Load().Conns
+	for limit > 0 && len(b.conns)+int(b.outgoing.Load()) >= limit {
+		victim := b.leastYield(now)
+		if victim == nil {
+			b.Counters.Refused.Add(1)
+			return nil
+		}
+		b.Counters.ForConns.Add(1)
+		b.evict(victim)
+	}
+	b.conns[c] = struct{}{}
+	return c
+}
+
+// leastYield returns the connection that yields least and has waited longest. It returns nil if
+// requests are in service on all. The caller holds mu.
+func (b *Budget) leastYield(now time.Time) *Conn {
+	var least *Conn
+	var leastYield yield
+	for c := range b.conns {
+		if y, ok := c.yield(now); ok && (least == nil || y.isBelow(leastYield)) {
+			least, leastYield = c, y
+		}
+	}
+	return least
+}
+
+// CanAfford reports whether a head may be parsed that takes a number of bytes. Only one that takes much
+// has to wait for memory of closed connections.
+func (b *Budget) CanAfford(bytes int64) bool {
+	return bytes <= cheapHeadBytes || b.bytes.Load()+b.closing.Load()+bytes <= b.maxBytes()
+}
+
+// evict closes a connection and returns what it held. The caller holds mu.
+func (b *Budget) evict(c *Conn) {
+	b.remove(c)
+	c.closing = c.held
+	b.closing.Add(c.closing)
+	// The server notices the end by its next read or write.
+	_ = c.Conn.Close()
+}
+
+// remove returns what a connection held. The caller holds mu.
+func (b *Budget) remove(c *Conn) {
+	if _, isOpen := b.conns[c]; !isOpen {
+		return
+	}
+	delete(b.conns, c)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isRemoved = true
+	b.bytes.Add(-c.held - c.unread)
+}
+
+// DialFunc connects to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns a dialer whose connections count. They are never closed for lack of connections, since
+// requests of callers depend on them; a connection of a listener is closed instead.
+func (b *Budget) Dialer(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		b.makeRoom()
+		b.outgoing.Add(1)
+		return &outgoingConn{
+			Conn:   conn,
+			budget: b,
+		}, nil
+	}
+}
+
+// makeRoom closes the connection that yields least if there are too many.
+func (b *Budget) makeRoom() {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	limit := b.config.Load().Conns
+	if limit <= 0 || len(b.conns)+int(b.outgoing.Load()) < limit {
+		return
+	}
+	if victim := b.leastYield(now); victim != nil {
+		b.Counters.ForConns.Add(1)
+		b.evict(victim)
+	}
+}
+
+// outgoingConn is a connection of a Dialer.
+type outgoingConn struct {
+	net.Conn
+	budget *Budget
+	closed sync.Once
+}
+
+// Close implements net.Conn.
+func (c *outgoingConn) Close() error {
+	c.closed.Do(func() {
+		c.budget.outgoing.Add(-1)
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/io/limit/conn.go
@@ -0,0 +1,400 @@
+package limit
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Phase is what a connection is doing.
+type Phase int
+
+// The phases of a connection.
+const (
+	// Idle is the time before the first byte of a request.
+	Idle Phase = iota
+	// Heading is the time from the first byte of a head to its end.
+	Heading
+	// Uploading is the time until the body of a request is complete.
+	Uploading
+	// Serving is the time until the answer is complete.
+	Serving
+)
+
+// Listener accepts connections that draw on a budget.
+type Listener struct {
+	net.Listener
+	Budget *Budget
+	// MaxHeadBytes returns the largest size of a head. Optional; the server has a bound of its own.
+	MaxHeadBytes func() int
+}
+
+// Accept implements net.Listener. Connections that the budget refuses are closed and skipped.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.Budget.admit(conn); c != nil {
+			c.maxHeadBytes = l.MaxHeadBytes
+			return c, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// Conn is a connection of a Listener. It finds the heads of requests in what is read, with the help of
+// Begin and End, unless its owner does that and calls Set.
+type Conn struct {
+	net.Conn
+	budget       *Budget
+	raw          syscall.RawConn
+	maxHeadBytes func() int
+
+	mu    sync.Mutex
+	phase Phase
+	// since is when the phase began; the phase Uploading begins again with each byte.
+	since time.Time
+	// served counts the answers.
+	served int
+	// isOwned is set once the owner keeps the account by Set.
+	isOwned bool
+	// headBytes and headLines are the size of the head so far, and isEmpty that it is line ends only.
+	headBytes int
+	headLines int
+	isEmpty   bool
+	// held is the memory that the connection has drawn, extra the part of it that Hold has added.
+	held  int64
+	extra int64
+	// unread is the number of bytes that waited in the kernel at the last scan.
+	unread int64
+	// writingSince is when the write in progress began, zero if there is none.
+	writingSince time.Time
+	isRemoved    bool
+	// closing is what the connection held when it was closed for lack of something. The mutex of the
+	// budget guards it.
+	closing int64
+}
+
+func newConn(b *Budget, conn net.Conn, now time.Time) *Conn {
+	c := &Conn{
+		Conn:   conn,
+		budget: b,
+		since:  now,
+	}
+	if source, ok := conn.(syscall.Conn); ok {
+		c.raw, _ = source.SyscallConn() // a connection without a descriptor has no queue
+	}
+	return c
+}
+
+// HeadBytes returns the memory that a head of a size and number of lines takes while its request is
+// served.
+func HeadBytes(size, lines int) int64 {
+	return int64(headCopies*size + lineBytes*lines)
+}
+
+// Read implements net.Conn. It fails with io.EOF once a head is too large.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.recordRead(p[:n]) {
+		c.budget.Counters.Heads.Add(1)
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// recordRead records bytes of a head and reports whether the head may go on.
+func (c *Conn) recordRead(p []byte) bool {
+	c.mu.Lock()
+	if c.isOwned || c.phase == Serving || c.phase == Uploading {
+		c.mu.Unlock()
+		return true
+	}
+	if c.phase != Heading {
+		c.phase, c.since = Heading, time.Now()
+		c.headBytes, c.headLines, c.isEmpty = 0, 0, true
+	}
+	c.headBytes += len(p)
+	c.headLines += bytes.Count(p, lineEnd)
+	c.isEmpty = c.isEmpty && IsEmpty(p)
+	isTooLarge := c.maxHeadBytes != nil && c.headBytes > c.maxHeadBytes() || c.isEmpty && c.headBytes > maxEmptyBytes
+	change := c.setHeld(HeadBytes(c.headBytes, c.headLines))
+	c.mu.Unlock()
+	c.budget.draw(change)
+	return !isTooLarge
+}
+
+var lineEnd = []byte("\n")
+
+// IsEmpty reports whether bytes are line ends only.
+func IsEmpty(p []byte) bool {
+	return len(bytes.Trim(p, "\r\n")) == 0
+}
+
+// IsTooEmpty reports whether a head begins with more line ends than are accepted.
+func IsTooEmpty(head []byte) bool {
+	return len(head) > maxEmptyBytes && IsEmpty(head[:maxEmptyBytes+1])
+}
+
+// setHeld sets what the connection holds beside Hold, and returns the change. The caller
+// holds mu.
+func (c *Conn) setHeld(held int64) int64 {
+	change := c.extra + held - c.held
+	if c.isRemoved {
+		return 0
+	}
+	c.held += change
+	return change
+}
+
+// Own lets the owner keep the account by Set, or gives it back to the connection.
+func (c *Conn) Own(isOwned bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isOwned = isOwned
+}
+
+// Set sets the phase and the memory that the owner holds for the connection.
+func (c *Conn) Set(phase Phase, held int64) {
+	c.mu.Lock()
+	if phase != c.phase || phase == Uploading {
+		c.phase, c.since = phase, time.Now()
+	}
+	change := c.setHeld(held)
+	c.mu.Unlock()
+	if change != 0 {
+		c.budget.draw(change)
+	}
+}
+
+// Hold adds to the memory that the connection holds, or returns some of it.
+func (c *Conn) Hold(bytes int64) {
+	c.mu.Lock()
+	if c.isRemoved {
+		c.mu.Unlock()
+		return
+	}
+	c.extra += bytes
+	c.held += bytes
+	c.mu.Unlock()
+	c.budget.draw(bytes)
+}
+
+// CanAfford is Budget.CanAfford.
+func (c *Conn) CanAfford(bytes int64) bool {
+	return c.budget.CanAfford(bytes)
+}
+
+// Begin records that the head of a request is complete. The head stays counted until End.
+func (c *Conn) Begin() {
+	c.setPhase(Serving)
+}
+
+// setPhase sets the phase unless the owner does.
+func (c *Conn) setPhase(phase Phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isOwned {
+		c.phase, c.since = phase, time.Now()
+	}
+}
+
+// TrackBody returns the body of the request in service. Until its end the request is incomplete.
+func (c *Conn) TrackBody(body io.ReadCloser) io.ReadCloser {
+	c.setPhase(Uploading)
+	return &trackedBody{
+		ReadCloser: body,
+		conn:       c,
+	}
+}
+
+type trackedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	phase := Uploading
+	if err != nil {
+		phase = Serving
+	}
+	b.conn.setPhase(phase)
+	return n, err
+}
+
+// End records that an answer is complete.
+func (c *Conn) End() {
+	c.mu.Lock()
+	c.served++
+	var change int64
+	if !c.isOwned {
+		c.phase, c.since = Idle, time.Now()
+		change = c.setHeld(0)
+	}
+	c.mu.Unlock()
+	if change != 0 {
+		c.budget.draw(change)
+	}
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	now := time.Now()
+	c.mu.Lock()
+	c.writingSince = now
+	c.mu.Unlock()
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.writingSince = time.Time{}
+	c.mu.Unlock()
+	return n, err
+}
+
+// CloseWrite lets the server send the end before it closes.
+func (c *Conn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.budget.mu.Lock()
+	c.budget.remove(c)
+	c.budget.closing.Add(-c.closing)
+	c.closing = 0
+	c.budget.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// queued returns the number of bytes that the kernel has received and that were not read.
+func (c *Conn) queued() int64 {
+	if c.raw == nil {
+		return 0
+	}
+	count := 0
+	_ = c.raw.Control(func(descriptor uintptr) {
+		count, _ = unix.IoctlGetInt(int(descriptor), unix.SIOCINQ) // 0 on errors
+	})
+	return int64(count)
+}
+
+const (
+	// The weights by which the memory of a connection counts when it runs short. A request in service
+	// yields an answer.
+	servingWeight    = 1
+	stalledWeight    = 2
+	incompleteWeight = 4
+)
+
+// cost returns how much the memory of the connection weighs.
+func (c *Conn) cost(now time.Time) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	bytes := c.held + c.unread
+	switch {
+	case c.phase != Serving:
+		return incompleteWeight * bytes
+	case c.isStalled(now):
+		return stalledWeight * bytes
+	}
+	return servingWeight * bytes
+}
+
+// isStalled reports whether an answer is not read. The caller holds mu.
+func (c *Conn) isStalled(now time.Time) bool {
+	return !c.writingSince.IsZero() && now.Sub(c.writingSince) > stalledTime
+}
+
+// yield is what a connection may yield, the lowest first.
+type yield struct {
+	rank  int
+	since time.Time
+}
+
+func (y yield) isBelow(other yield) bool {
+	return y.rank < other.rank || y.rank == other.rank && y.since.Before(other.since)
+}
+
+// yield returns what the connection may yield; ok is false if a request is in service.
+func (c *Conn) yield(now time.Time) (y yield, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	y.since = c.since
+	switch {
+	case c.phase <= Heading && c.served == 0:
+		y.rank = 0
+	case c.phase == Uploading && now.Sub(c.since) > stalledTime:
+		y.rank = 1
+	case c.isStalled(now):
+		y.rank = 2
+	case c.phase == Idle:
+		y.rank = 3
+	case c.phase == Heading:
+		y.rank = 4
+	case c.phase == Uploading:
+		y.rank = 5
+	default:
+		return yield{}, false
+	}
+	return y, true
+}
+
+type connKey struct{}
+
+// Attach lets the connections of a server draw on the budget of its Listener.
+func Attach(server *http.Server) {
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+			c.Begin()
+			held := BodyBytes(r.ContentLength)
+			c.Hold(held)
+			defer c.Hold(-held)
+			if r.ContentLength != 0 {
+				r.Body = c.TrackBody(r.Body)
+			}
+		}
+		handler.ServeHTTP(w, r)
+	})
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if c, ok := conn.(*Conn); ok && state == http.StateIdle {
+			c.End()
+		}
+	}
+}
+
+const (
+	// largeBodyBytes is the length from which bodies pass through large buffers.
+	largeBodyBytes = 64 << 10
+	smallBuffer    = 32 << 10
+	largeBuffer    = 256 << 10
+)
+
+// BodyBytes returns the memory that a body of a length takes on its way, -1 if that is unknown.
+func BodyBytes(length int64) int64 {
+	switch {
+	case length == 0:
+		return 0
+	case length > largeBodyBytes:
+		return largeBuffer
+	case length < 0:
+		return smallBuffer
+	}
+	return length
+}
--- /dev/null
+++ b/io/limit/socket.go
@@ -0,0 +1,26 @@
+package limit
+
+import (
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// ControlFunc sets options of a socket, for net.ListenConfig.
+type ControlFunc func(network, address string, conn syscall.RawConn) error
+
+// WithWindow bounds the bytes that the kernel receives ahead on each connection of a listener. It suits
+// senders nearby: over a long path, the bound divided by the round-trip time limits the throughput.
+func WithWindow(bytes int, next ControlFunc) ControlFunc {
+	return func(network, address string, conn syscall.RawConn) error {
+		var optionErr error
+		err := conn.Control(func(descriptor uintptr) {
+			optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
+		})
+		if err = errors.CombineErrors(err, optionErr); err != nil {
+			return errors.Wrap(err, "set the bound on unread bytes")
+		}
+		return next(network, address, conn)
+	}
+}
--- a/io/proxy/early_conn.go
+++ b/io/proxy/early_conn.go
@@ -5,12 +5,16 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"verbenaway/io/limit"
 )
 
 const (
@@ -18,9 +22,14 @@
 	maxReadAheadBytes = 64 << 10
 	// maxEarlyCalls bounds the early calls of a connection.
 	maxEarlyCalls = 8
+	// refusalTimeout bounds the sending of a refusal of a head.
+	refusalTimeout = time.Second
 )
 
-var headerEnd = []byte("\r\n\r\n")
+var (
+	headerEnd = []byte("\r\n\r\n")
+	lineEnd   = []byte("\n")
+)
 
 // PipelineListener serves pipelined requests of a connection concurrently if they are idempotent
 // and have no body. The HTTP server still reads them one by one and answers in order, but the
@@ -46,6 +55,10 @@
 		cancel: cancel,
 	}
 	c.changed.L = &c.mu
+	if limited, ok := conn.(*limit.Conn); ok {
+		limited.Own(true)
+		c.limited = limited
+	}
 	return c, nil
 }
 
@@ -64,6 +77,8 @@
 type callerConn struct {
 	net.Conn
 	entry *Entry
+	// limited is Conn if it draws on a budget, otherwise nil.
+	limited *limit.Conn
 	// ctx ends with the connection.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -77,6 +92,10 @@
 	currentBytes int
 	// bodyLeft is the number of bytes of its body that are not in readAhead yet.
 	bodyLeft int64
+	// searchedBytes is the number of leading bytes of readAhead without the end of a head.
+	searchedBytes int
+	// headBytes is the memory that the heads of the requests in service take.
+	headBytes int64
 	// isPassThrough is set once the boundaries of requests are unknown; all bytes are then
 	// passed through.
 	isPassThrough bool
@@ -115,6 +134,7 @@
 	if errors.Is(c.err, os.ErrDeadlineExceeded) && !c.isDeadlinePast() {
 		c.err = nil
 	}
+	c.changed.Broadcast()
 	return c.Conn.SetReadDeadline(deadline)
 }
 
@@ -160,6 +180,12 @@
 			c.waitForChange()
 		case len(c.readAhead) == 0 && (c.isPassThrough || c.bodyLeft > 0):
 			return c.readThrough(p)
+		case c.isAnswering() && len(c.readAhead) > c.entry.MaxHeadBytes():
+			// A head that is too large is refused after the answer before it.
+			if c.isDeadlinePast() {
+				return 0, os.ErrDeadlineExceeded
+			}
+			c.waitForChange()
 		default:
 			c.readMore()
 		}
@@ -176,6 +202,11 @@
 	return c.isHandling || c.isHandlerDue()
 }
 
+// isAnswering reports whether the answer to an earlier request is not complete.
+func (c *callerConn) isAnswering() bool {
+	return c.isServing() || c.hasHandler.Load()
+}
+
 // waitForChange waits for a change of the state. The caller holds mu.
 func (c *callerConn) waitForChange() {
 	c.isReadWaiting = true
@@ -193,6 +224,7 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	c.bodyLeft = max(c.bodyLeft-int64(n), 0)
+	c.account()
 	return n, err
 }
 
@@ -204,6 +236,7 @@
 	n, err := c.Conn.Read(*buffer)
 	c.mu.Lock()
 	c.readAhead = append(c.readAhead, (*buffer)[:n]...)
+	c.account()
 	if errors.Is(err, os.ErrDeadlineExceeded) && !c.isDeadlinePast() {
 		err = nil
 	}
@@ -238,6 +271,7 @@
 // consume removes the bytes that the server has read.
 func (c *callerConn) consume(n int) {
 	c.readAhead = c.readAhead[n:]
+	c.searchedBytes = 0
 	c.currentBytes = max(c.currentBytes-n, 0)
 	if len(c.readAhead) == 0 {
 		c.readAhead = nil
@@ -253,15 +287,18 @@
 		c.bodyLeft -= int64(c.currentBytes)
 		return
 	}
-	end := bytes.Index(c.readAhead, headerEnd)
+	end := c.findHeadEnd()
 	if end < 0 {
-		c.isPassThrough = len(c.readAhead) >= maxReadAheadBytes
 		return
 	}
-	end += len(headerEnd)
-	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(c.readAhead[:end])))
+	head := c.readAhead[:end]
+	if !c.drawHead(head) {
+		c.refuseHead(http.StatusServiceUnavailable)
+		return
+	}
+	request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
 	if err != nil || request.ContentLength < 0 || request.Header.Get("Upgrade") != "" {
-		c.isPassThrough = true
+		c.passThrough()
 		return
 	}
 	c.framedRequests++
@@ -269,6 +306,90 @@
 	c.currentBytes = int(min(int64(end)+request.ContentLength, int64(len(c.readAhead))))
 	c.bodyLeft = int64(end) + request.ContentLength - int64(c.currentBytes)
 	c.earlyBytes = max(c.earlyBytes-c.currentBytes, 0)
+	c.account()
+}
+
+// findHeadEnd returns the length of the head at the start of readAhead, -1 if it is not complete or was
+// refused.
+func (c *callerConn) findHeadEnd() int {
+	from := max(c.searchedBytes-len(headerEnd)+1, 0)
+	end := bytes.Index(c.readAhead[from:], headerEnd)
+	size := len(c.readAhead)
+	if end >= 0 {
+		end += from + len(headerEnd)
+		size = end
+	}
+	switch {
+	case c.isAnswering() && end < 0:
+	case size > c.entry.MaxHeadBytes():
+		c.refuseHead(http.StatusRequestHeaderFieldsTooLarge)
+		return -1
+	case limit.IsTooEmpty(c.readAhead):
+		c.refuseHead(http.StatusBadRequest)
+		return -1
+	}
+	if end < 0 {
+		c.searchedBytes = len(c.readAhead)
+	}
+	return end
+}
+
+// refuseHead answers a head that is not accepted and ends the reading. The caller holds mu, which is
+// released during the answer.
+func (c *callerConn) refuseHead(status int) {
+	if c.isAnswering() {
+		// The answers before it come first.
+		return
+	}
+	c.readAhead = nil
+	c.searchedBytes = 0
+	c.err = io.EOF
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	text := strconv.Itoa(status) + " " + http.StatusText(status)
+	_, _ = io.WriteString(c, "HTTP/1.1 "+text+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+text)
+}
+
+// drawHead draws the memory for the request of a head, and reports whether it may be parsed. The caller
+// holds mu.
+func (c *callerConn) drawHead(head []byte) bool {
+	if c.limited == nil {
+		return true
+	}
+	cost := limit.HeadBytes(len(head), bytes.Count(head, lineEnd))
+	if !c.limited.CanAfford(cost) {
+		return false
+	}
+	c.headBytes += cost
+	c.account()
+	return true
+}
+
+// passThrough lets the server find the boundaries of the requests. The caller holds mu.
+func (c *callerConn) passThrough() {
+	c.account()
+	c.isPassThrough = true
+	if c.limited != nil {
+		c.limited.Own(false)
+	}
+}
+
+// account draws what the connection holds from the budget. The caller holds mu.
+func (c *callerConn) account() {
+	if c.limited == nil || c.isPassThrough {
+		return
+	}
+	phase := limit.Idle
+	switch {
+	case c.isServing() && c.bodyLeft > 0:
+		phase = limit.Uploading
+	case c.isServing():
+		phase = limit.Serving
+	case len(c.readAhead) > 0:
+		phase = limit.Heading
+	}
+	c.limited.Set(phase, int64(cap(c.readAhead))+c.headBytes)
 }
 
 // readAheadLoop reads from the network while a handler runs.
@@ -347,8 +468,13 @@
 			return
 		}
 		end += len(headerEnd)
+		before := c.headBytes
+		if !c.drawHead(rest[:end]) {
+			return
+		}
 		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(rest[:end])))
 		if err != nil || request.ContentLength != 0 || request.Method != http.MethodGet {
+			c.headBytes = before
 			return
 		}
 		c.hasLastRequest = request.Close
@@ -366,6 +492,9 @@
 	c.isHandling = true
 	c.hasHandler.Store(true)
 	c.startedHandlers++
+	if c.limited != nil {
+		c.limited.Begin()
+	}
 	defer c.changed.Broadcast()
 	defer c.startEarlyCalls()
 	if len(c.earlyCalls) == 0 {
@@ -388,5 +517,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isHandling = false
+	if len(c.earlyCalls) == 0 {
+		c.headBytes = 0
+	}
+	c.account()
 	c.changed.Broadcast()
 }
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -16,12 +16,15 @@
 	"verbenaway/core/dedup"
 	"verbenaway/core/retry"
 	"verbenaway/core/route"
+	"verbenaway/io/limit"
 )
 
 const (
 	// maxHeaderBytes limits the total size of the header names and values of a request, unless the
 	// configuration allows more.
 	maxHeaderBytes = 64 << 10
+	// maxRequestLineBytes is allowed for the request line beside the headers.
+	maxRequestLineBytes = 16 << 10
 	// maxServerHeaderBytes is the limit of the HTTP server, which cannot change with the
 	// configuration. It is higher than configured limits, so that the entry itself refuses.
 	maxServerHeaderBytes = 1 << 20
@@ -136,6 +139,17 @@
 	}
 }
 
+// MaxHeadBytes returns the largest size of the head of a request. It is above that of any head whose
+// names and values are within the limit of the configuration: a line has four bytes beside them, and at
+// least two of theirs.
+func (e *Entry) MaxHeadBytes() int {
+	configured := 0
+	if snapshot, _ := e.config.Config.Snapshot(); snapshot != nil {
+		configured = snapshot.MaxHeaderBytes
+	}
+	return max(maxHeaderBytes, 3*configured) + maxRequestLineBytes
+}
+
 // ServeHTTP serves one request, or passes on the answer of its early call if it was pipelined.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, ok := r.Context().Value(callerConnKey{}).(*callerConn)
@@ -145,6 +159,12 @@
 	}
 	early := conn.startHandler(r)
 	defer conn.endHandler()
+	if conn.limited != nil && r.ContentLength != 0 {
+		held := limit.BodyBytes(r.ContentLength)
+		conn.limited.Hold(held)
+		defer conn.limited.Hold(-held)
+		r.Body = conn.limited.TrackBody(r.Body)
+	}
 	if early != nil {
 		defer early.release()
 		if early.join(w, r) {
--- a/io/proxy/server_answer.go
+++ b/io/proxy/server_answer.go
@@ -16,6 +16,9 @@
 func observeConnState(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
 		c.hasHandler.Store(false)
+		if c.limited != nil {
+			c.limited.End()
+		}
 	}
 }
 
--- a/tools/runtests/main.go
+++ b/tools/runtests/main.go
@@ -20,6 +20,11 @@
 // assume.
 const timeSensitivePackage = "verbenaway/io/fleet"
 
+// crowdPackage contains the tests of whole processes under crowds of clients. Its bounds on memory hold
+// for a process that gets the CPU time that it needs, so that it runs last and alone. The processes are
+// built without the race detector, which the clients do not need either.
+const crowdPackage = "verbenaway/platform/crowd"
+
 // virtualTimePackage limits itself to one CPU under the race detector. It is also run without the
 // detector, on all CPUs.
 const virtualTimePackage = "verbenaway/io/agent"
@@ -50,6 +55,7 @@
 			packages:   []string{timeSensitivePackage},
 			detectRace: true,
 		},
+		{packages: []string{crowdPackage}},
 	} {
 		if err = runPackages(&outcome, knownFailures, run); err != nil {
 			exitWithError("go test", err)
@@ -63,14 +69,14 @@
 	os.Exit(2)
 }
 
-// otherPackages returns all packages of the module except timeSensitivePackage.
+// otherPackages returns all packages of the module except those that run alone.
 func otherPackages() ([]string, error) {
 	output, err := exec.Command("go", "list", "./...").Output()
 	if err != nil {
 		return nil, err
 	}
 	return slices.DeleteFunc(strings.Fields(string(output)), func(name string) bool {
-		return name == timeSensitivePackage
+		return name == timeSensitivePackage || name == crowdPackage
 	}), nil
 }
 
