limit: the queues of idle connections are not looked at, a calm process is watched once a second

Change: idle connections are skipped; while the connections that are in use could not fill the memory, the scan runs once a second, and a connection that changes this starts one at once.

--- a/io/limit/budget.go
+++ b/io/limit/budget.go
@@ -24,8 +24,12 @@
 	// maxEmptyBytes bounds the line ends that are accepted before a request. Some clients send one pair
 	// after a body.
 	maxEmptyBytes = 16
-	// scanInterval is the time between two looks at the queues and ages of all connections.
-	scanInterval = 100 * time.Millisecond
+	// scanInterval is the time between two looks at the queues and ages of all connections while memory
+	// may run short, calmScanInterval that while it cannot.
+	scanInterval     = 100 * time.Millisecond
+	calmScanInterval = time.Second
+	// expectedUnreadBytes is what the kernel may hold of a connection before it is looked at.
+	expectedUnreadBytes = 256 << 10
 	// minScannedBytes is the queue below which bytes that wait in the kernel do not count. Every
 	// connection in use has some at times.
 	minScannedBytes = 64 << 10
@@ -66,18 +70,23 @@
 	bytes  atomic.Int64
 	// closing is what closed connections held that the server has not finished with.
 	closing atomic.Int64
+	// crowded gets a value when memory may run short.
+	crowded chan struct{}
 	// outgoing counts the connections of dialers.
 	outgoing atomic.Int64
 
 	mu sync.Mutex
 	// conns holds the connections of listeners.
 	conns map[*Conn]struct{}
+	// busy is the number of connections that were not idle at the last scan or are newer.
+	busy int
 }
 
 // NewBudget returns a budget; Watch must run for what depends on time.
 func NewBudget(config Config) *Budget {
 	b := &Budget{
-		conns: map[*Conn]struct{}{},
+		conns:   map[*Conn]struct{}{},
+		crowded: make(chan struct{}, 1),
 	}
 	b.Configure(config)
 	return b
@@ -102,25 +111,45 @@
 
 // Watch looks at all connections until ctx ends.
 func (b *Budget) Watch(ctx context.Context) {
-	ticker := time.NewTicker(scanInterval)
-	defer ticker.Stop()
-	for {
+	timer := time.NewTimer(calmScanInterval)
+	defer timer.Stop()
+	for isCalm := true; ; {
+		crowded := b.crowded
+		if !isCalm {
+			crowded = nil
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
-			b.scan(now)
+		case <-crowded:
+		case <-timer.C:
+		}
+		isCalm = b.scan(time.Now())
+		interval := scanInterval
+		if isCalm {
+			interval = calmScanInterval
 		}
+		timer.Reset(interval)
 	}
 }
 
-// scan counts the bytes that wait in the kernel and closes connections whose head takes too long.
-func (b *Budget) scan(now time.Time) {
+// isCrowded reports whether memory may run short before the next look at a calm process. The caller
+// holds mu.
+func (b *Budget) isCrowded() bool {
+	limit := b.maxBytes()
+	return int64(b.busy)*expectedUnreadBytes > limit || b.bytes.Load() > limit/2
+}
+
+// scan counts the bytes that wait in the kernel and closes connections whose head takes too long. It
+// reports whether memory cannot run short soon.
+func (b *Budget) scan(now time.Time) (isCalm bool) {
 	config := b.config.Load()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.busy = 0
 	for c := range b.conns {
 		c.mu.Lock()
+		isIdle := c.phase == Idle && c.unread == 0
 		isLate := c.phase == Heading && config.HeadTimeout > 0 && now.Sub(c.since) > config.HeadTimeout
 		c.mu.Unlock()
 		if isLate {
@@ -128,6 +157,10 @@
 			b.evict(c)
 			continue
 		}
+		if isIdle {
+			continue
+		}
+		b.busy++
 		unread := c.queued()
 		if unread < minScannedBytes {
 			unread = 0
@@ -138,6 +171,7 @@
 		c.mu.Unlock()
 	}
 	b.relieve(now)
+	return !b.isCrowded()
 }
 
 // draw changes the memory in use and closes connections if it runs short.
@@ -196,6 +230,13 @@
 		b.evict(victim)
 	}
 	b.conns[c] = struct{}{}
+	b.busy++
+	if b.isCrowded() {
+		select {
+		case b.crowded <- struct{}{}:
+		default:
+		}
+	}
 	return c
 }
 
