--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,5 @@
 	go test ./core/snap -run '^$$' -fuzz '^FuzzFold$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	go test ./core/snap -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	go test ./platform -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	go test ./io/proxy -run '^$$' -fuzz '^FuzzHeads$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	go test ./io/proxy -run '^$$' -fuzz '^FuzzChunks$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
