--- a/core/event.go
+++ b/core/event.go
@@ -54,6 +54,7 @@
 	EventValueRefused   EventKind = "valueRefused"
 	EventSettingsRead   EventKind = "settingsRead"
 	EventServerFailed   EventKind = "serverFailed"
+	EventQuotaExceeded  EventKind = "quotaExceeded"
 )
 
 // EventKindInfo describes one event kind for help and reference pages.
@@ -89,6 +90,7 @@
 	{Kind: EventValueRefused, Meaning: "A value of the store cannot be decoded and is not used."},
 	{Kind: EventSettingsRead, Meaning: "The settings file was read again."},
 	{Kind: EventServerFailed, Meaning: "The daemon no longer accepts connections on one of its addresses."},
+	{Kind: EventQuotaExceeded, Meaning: "Requests of a tenant were refused because of its quota; at most one event per tenant and ten seconds."},
 }
 
 // Event is one entry of the timeline.
--- a/core/registry.go
+++ b/core/registry.go
@@ -106,6 +106,35 @@
 	Follow(ctx context.Context, request FollowRequest) (FollowAnswer, error)
 }
 
+// GrantRequest asks another daemon for permits of a tenant.
+type GrantRequest struct {
+	Sender HostName
+	Tenant TenantName
+	// Want is at least 1.
+	Want int
+}
+
+// GrantAnswer holds the permits that a daemon hands out.
+type GrantAnswer struct {
+	// Granted is from 0 to the number wanted.
+	Granted int
+	// RetryAfter is the time after which a further permit may be available, 0 if unknown.
+	RetryAfter time.Duration
+	// IsInactive is set if the daemon grants no permits of the tenant now.
+	IsInactive bool
+}
+
+// GrantClient asks other daemons for permits by address. Errors have the kinds PeerUnreachable and
+// PeerMalformed.
+type GrantClient interface {
+	Grant(ctx context.Context, address string, request GrantRequest) (GrantAnswer, error)
+}
+
+// GrantServer answers requests of other daemons for permits.
+type GrantServer interface {
+	Grant(ctx context.Context, request GrantRequest) (GrantAnswer, error)
+}
+
 // UpstreamRecord is the registration of an upstream, written by the upstream itself.
 type UpstreamRecord struct {
 	// Host has the state HostLive or HostLeaving and an Instance.
--- a/io/follow/view.go
+++ b/io/follow/view.go
@@ -78,6 +78,19 @@
 	return len(f.view.Load().ByName)
 }
 
+// Hosts returns the hosts of the upstreams in use, none before the daemon is ready.
+func (f *Follower) Hosts() []core.Host {
+	if !f.ready.Load() {
+		return nil
+	}
+	view := f.view.Load()
+	hosts := make([]core.Host, 0, len(view.ByName))
+	for _, member := range view.ByName {
+		hosts = append(hosts, member.Host)
+	}
+	return hosts
+}
+
 // ContactAge returns the time since the last contact with the store.
 func (f *Follower) ContactAge() time.Duration {
 	f.mu.Lock()
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -24,8 +24,11 @@
 	// idleConnTimeout keeps the connections to the daemons that this one follows, which are in
 	// constant use.
 	idleConnTimeout = 15 * time.Second
-	// maxCachedClients bounds the clients kept for addresses; a daemon usually asks two others.
-	maxCachedClients = 32
+	// maxCachedClients bounds the clients kept for addresses. A daemon follows two others, and asks
+	// those of its zone for permits.
+	maxCachedClients = 256
+	// maxRetryAfterMs bounds what another daemon may tell.
+	maxRetryAfterMs = 60_000
 )
 
 // ClientConfig configures a Client.
@@ -34,7 +37,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// Client sends follow requests to other daemons. It implements core.RelayClient.
+// Client sends requests to other daemons. It implements core.RelayClient and core.GrantClient. Requests
+// that are sent at the same time use different connections.
 type Client struct {
 	http    *http.Client
 	mu      sync.Mutex
@@ -95,6 +99,26 @@
 	return client
 }
 
+// Grant implements core.GrantClient.
+func (c *Client) Grant(ctx context.Context, address string, request core.GrantRequest) (core.GrantAnswer, error) {
+	response, err := c.client(address).Grant(ctx, connect.NewRequest(&wire.GrantRequest{
+		Sender: string(request.Sender),
+		Tenant: string(request.Tenant),
+		Want:   uint32(min(max(request.Want, 0), maxWant)),
+	}))
+	if err != nil {
+		return core.GrantAnswer{}, core.Errorf(core.PeerUnreachable, "%s: %v", address, err)
+	}
+	if int64(response.Msg.Granted) > int64(request.Want) {
+		return core.GrantAnswer{}, core.Errorf(core.PeerMalformed, "%s granted %d permits, %d were wanted", address, response.Msg.Granted, request.Want)
+	}
+	return core.GrantAnswer{
+		Granted:    int(response.Msg.Granted),
+		RetryAfter: time.Duration(min(max(response.Msg.RetryAfterMs, 0), maxRetryAfterMs)) * time.Millisecond,
+		IsInactive: response.Msg.IsInactive,
+	}, nil
+}
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -11,21 +11,30 @@
 	"verbenaway/io/wire"
 )
 
-// maxFollowWait bounds how long a request is parked, whatever the sender asks for.
-const maxFollowWait = 10 * time.Second
+const (
+	// maxFollowWait bounds how long a request is parked, whatever the sender asks for.
+	maxFollowWait = 10 * time.Second
+	// maxRequestBytes is enough for a position, or for the names in a request for permits.
+	maxRequestBytes = 64 << 10
+	// maxWant bounds the permits that one request asks for.
+	maxWant = 10000
+)
 
-// service adapts a core.RelayServer to the generated interface.
+// service adapts the servers to the generated interface.
 type service struct {
 	server  core.RelayServer
+	grants  core.GrantServer
 	encoder answerEncoder
 }
 
-// NewHandler returns the handler for follow requests of other daemons.
-func NewHandler(server core.RelayServer) http.Handler {
+// NewHandler returns the handler for requests of other daemons. Without grants, which are optional, the
+// daemon hands out no permits.
+func NewHandler(server core.RelayServer, grants core.GrantServer) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wire.NewRelayHandler(&service{
 		server: server,
-	}, connect.WithReadMaxBytes(maxMessageBytes)))
+		grants: grants,
+	}, connect.WithReadMaxBytes(maxRequestBytes)))
 	return mux
 }
 
@@ -48,3 +57,25 @@
 	}
 	return nil, connect.NewError(connect.CodeUnavailable, err)
 }
+
+// Grant implements wire.RelayHandler.
+func (s *service) Grant(ctx context.Context, request *connect.Request[wire.GrantRequest]) (*connect.Response[wire.GrantAnswer], error) {
+	if s.grants == nil {
+		return connect.NewResponse(&wire.GrantAnswer{
+			IsInactive: true,
+		}), nil
+	}
+	answer, err := s.grants.Grant(ctx, core.GrantRequest{
+		Sender: core.HostName(request.Msg.Sender),
+		Tenant: core.TenantName(request.Msg.Tenant),
+		Want:   int(min(request.Msg.Want, maxWant)),
+	})
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&wire.GrantAnswer{
+		Granted:      uint32(min(max(answer.Granted, 0), maxWant)),
+		RetryAfterMs: answer.RetryAfter.Milliseconds(),
+		IsInactive:   answer.IsInactive,
+	}), nil
+}
--- a/io/wire/relay.connect.go
+++ b/io/wire/relay.connect.go
@@ -34,12 +34,16 @@
 const (
 	// RelayFollowProcedure is the fully-qualified name of the Relay's Follow RPC.
 	RelayFollowProcedure = "/verbenaway.wire.Relay/Follow"
+	// RelayGrantProcedure is the fully-qualified name of the Relay's Grant RPC.
+	RelayGrantProcedure = "/verbenaway.wire.Relay/Grant"
 )
 
 // RelayClient is a client for the verbenaway.wire.Relay service.
 type RelayClient interface {
 	// Follow returns the changes after a revision once there are any, or none after the wait.
 	Follow(context.Context, *connect.Request[FollowRequest]) (*connect.Response[FollowAnswer], error)
+	// Grant hands out permits for requests of a tenant, as far as its quota allows.
+	Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantAnswer], error)
 }
 
 // NewRelayClient constructs a client for the verbenaway.wire.Relay service. By default, it uses the
@@ -59,12 +63,19 @@
 			connect.WithSchema(relayMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
+		grant: connect.NewClient[GrantRequest, GrantAnswer](
+			httpClient,
+			baseURL+RelayGrantProcedure,
+			connect.WithSchema(relayMethods.ByName("Grant")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // relayClient implements RelayClient.
 type relayClient struct {
 	follow *connect.Client[FollowRequest, FollowAnswer]
+	grant  *connect.Client[GrantRequest, GrantAnswer]
 }
 
 // Follow calls verbenaway.wire.Relay.Follow.
@@ -72,10 +83,17 @@
 	return c.follow.CallUnary(ctx, req)
 }
 
+// Grant calls verbenaway.wire.Relay.Grant.
+func (c *relayClient) Grant(ctx context.Context, req *connect.Request[GrantRequest]) (*connect.Response[GrantAnswer], error) {
+	return c.grant.CallUnary(ctx, req)
+}
+
 // RelayHandler is an implementation of the verbenaway.wire.Relay service.
 type RelayHandler interface {
 	// Follow returns the changes after a revision once there are any, or none after the wait.
 	Follow(context.Context, *connect.Request[FollowRequest]) (*connect.Response[FollowAnswer], error)
+	// Grant hands out permits for requests of a tenant, as far as its quota allows.
+	Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantAnswer], error)
 }
 
 // NewRelayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -91,10 +109,18 @@
 		connect.WithSchema(relayMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	relayGrantHandler := connect.NewUnaryHandler(
+		RelayGrantProcedure,
+		svc.Grant,
+		connect.WithSchema(relayMethods.ByName("Grant")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/verbenaway.wire.Relay/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RelayFollowProcedure:
 			relayFollowHandler.ServeHTTP(w, r)
+		case RelayGrantProcedure:
+			relayGrantHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -107,3 +133,7 @@
 func (UnimplementedRelayHandler) Follow(context.Context, *connect.Request[FollowRequest]) (*connect.Response[FollowAnswer], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenaway.wire.Relay.Follow is not implemented"))
 }
+
+func (UnimplementedRelayHandler) Grant(context.Context, *connect.Request[GrantRequest]) (*connect.Response[GrantAnswer], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("verbenaway.wire.Relay.Grant is not implemented"))
+}
