quota: a granter that is cut off hands out little unless the store is down for others too

Cause: TestBoundUnderFaults found 1.37 of the limit with one of two daemons of a zone cut off: it went on granting half of the rate beside its successor.

Change: after the time in which its registration expires, a granter without contact to the store hands out a tenth of its rate, unless at least seven of eight daemons that it asks have lost contact too.

--- a/core/quota/ring.go
+++ b/core/quota/ring.go
@@ -150,27 +150,6 @@
 	return r.size
 }
 
-// ZoneSize returns the number of daemons in the zone of this daemon.
-func (r *Ring) ZoneSize() int {
-	if r.selfSince.IsZero() {
-		return 0
-	}
-	return len(r.zones[0].members)
-}
-
-// ZoneMember returns a daemon of the zone of this daemon.
-func (r *Ring) ZoneMember(name core.HostName) (core.Host, bool) {
-	if r.selfSince.IsZero() {
-		return core.Host{}, false
-	}
-	for _, member := range r.zones[0].members {
-		if member.host.Name == name {
-			return member.host, true
-		}
-	}
-	return core.Host{}, false
-}
-
 // ZoneCount returns the number of zones among which quotas are divided. A zone that has lost its last
 // daemon counts for Fence longer.
 func (r *Ring) ZoneCount(now time.Time) int {
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -72,7 +72,7 @@
 	ring      *Ring
 	account   Account
 	bucket    Bucket
-	heard     map[core.HostName]time.Time
+	outage    Outage
 	// waiting holds the deadlines of requests that wait for a permit.
 	waiting []time.Time
 	// asks are the outstanding requests to granters.
@@ -124,7 +124,7 @@
 // start gives a daemon an empty memory.
 func (w *world) start(n *node) {
 	n.isDown, n.startedAt, n.contactAt = false, w.now, w.now
-	n.ring, n.account, n.bucket, n.heard = nil, Account{}, Bucket{}, map[core.HostName]time.Time{}
+	n.ring, n.account, n.bucket, n.outage = nil, Account{}, Bucket{}, Outage{}
 	n.waiting, n.asks, n.inbox = nil, nil, nil
 	n.spec = w.spec
 	n.nextView = w.now
@@ -277,7 +277,7 @@
 }
 
 func (w *world) send(from, to *node, m message) {
-	if (from.isCut || to.isCut) && (from.isCut != to.isCut || from.group != to.group) {
+	if !w.isReachable(from, to) {
 		return
 	}
 	if w.random.Float64() < w.loss {
@@ -305,7 +305,6 @@
 		case m.at.After(w.now):
 			n.inbox = append(n.inbox, m)
 		case !m.isReply:
-			n.heard[m.sender.host.Name] = w.now
 			w.send(n, m.sender, message{
 				sender:  n,
 				number:  m.number,
@@ -313,7 +312,6 @@
 				grant:   w.grant(n, m.want),
 			})
 		default:
-			n.heard[m.sender.host.Name] = w.now
 			i := slices.IndexFunc(n.asks, func(p pendingAsk) bool { return p.number == m.number })
 			if i < 0 {
 				continue
@@ -330,16 +328,10 @@
 		Spec:     n.spec,
 		Bounds:   testBounds,
 		Zones:    n.ring.ZoneCount(w.now),
-		Share:    1,
 	}
-	if w.now.Sub(n.contactAt) >= 3*heartbeat {
-		inTouch := 1
-		for name, at := range n.heard {
-			if _, ok := n.ring.ZoneMember(name); ok && w.now.Sub(at) < 2*time.Second {
-				inTouch++
-			}
-		}
-		fill.Share = min(float64(inTouch)/float64(max(n.ring.ZoneSize(), 1)), 1)
+	var isProbeDue bool
+	if fill.Share, isProbeDue = n.outage.Share(w.now, w.now.Sub(n.contactAt), 3*heartbeat); isProbeDue {
+		w.probe(n)
 	}
 	granted, retryAfter := n.bucket.Grant(w.now, fill, want)
 	return Grant{
@@ -349,6 +341,28 @@
 	}
 }
 
+// probe asks others whether they have contact with the store.
+func (w *world) probe(n *node) {
+	answered, inContact := 0, 0
+	hosts := n.ring.Probes(w.random.Uint64())
+	for _, host := range hosts {
+		for _, other := range w.daemons {
+			if other.host.Name != host.Name || other.isDown || !w.isReachable(n, other) || w.random.Float64() < w.loss {
+				continue
+			}
+			answered++
+			if w.now.Sub(other.contactAt) < 2*viewLag {
+				inContact++
+			}
+		}
+	}
+	n.outage.Conclude(w.now, len(hosts), answered, inContact)
+}
+
+func (w *world) isReachable(from, to *node) bool {
+	return !from.isCut && !to.isCut || from.isCut && to.isCut && from.group == to.group
+}
+
 // worstWindow returns the highest ratio of the requests within a window to the limit, and the time at
 // which it was reached. A lower quota counts one window after all daemons have it.
 func (w *world) worstWindow() (ratio float64, at time.Time) {
--- a/core/registry.go
+++ b/core/registry.go
@@ -110,7 +110,7 @@
 type GrantRequest struct {
 	Sender HostName
 	Tenant TenantName
-	// Want is at least 1.
+	// Want is the number of permits, 0 if only HasContact is asked for.
 	Want int
 }
 
@@ -122,6 +122,8 @@
 	RetryAfter time.Duration
 	// IsInactive is set if the daemon grants no permits of the tenant now.
 	IsInactive bool
+	// HasContact is set if the daemon has contact with the store, by itself or another daemon.
+	HasContact bool
 }
 
 // GrantClient asks other daemons for permits by address. Errors have the kinds PeerUnreachable and
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,13 +12,14 @@
 )
 
 const (
-	// askTimeout bounds a request to a granter. It is small against the time for which a caller waits,
+	// DefaultAskTimeout bounds a request to a granter. It is small against the time for which a caller waits,
 	// and long enough for a host in another region that is busy.
-	askTimeout = 150 * time.Millisecond
+	DefaultAskTimeout = 150 * time.Millisecond
 	// takeTimeout bounds how long a request waits for a permit.
 	takeTimeout = quota.PermitLifetime
-	// heardTime is how long a daemon of the zone counts as in touch after its last message.
-	heardTime = 2 * time.Second
+	// maxContactAge is the time since the last contact with the store up to which a daemon says that it
+	// has contact.
+	maxContactAge = 2 * time.Second
 	// maxTenants bounds the tenants that are remembered; those without a quota are not.
 	maxTenants = 20000
 )
@@ -38,10 +40,12 @@
 	Clock      core.Clock
 	Journal    core.Journal
 	Bounds     quota.Bounds
+	// AskTimeout bounds a request to a granter; 0 means DefaultAskTimeout.
+	AskTimeout time.Duration
 }
 
-// Keeper enforces quotas. It implements core.Quotas and core.GrantServer. It has no goroutines and
-// sends nothing unless requests of tenants with a quota arrive.
+// Keeper enforces quotas. It implements core.Quotas and core.GrantServer. It sends
+// nothing unless requests of tenants with a quota arrive.
 type Keeper struct {
 	Counters Counters
 
@@ -51,8 +55,7 @@
 
 	mu      sync.RWMutex
 	tenants map[core.TenantName]*tenant
-	// heard holds the times of the last messages of daemons of this zone.
-	heard   map[core.HostName]time.Time
+	outage  quota.Outage
 	reports reports
 }
 
@@ -79,11 +82,13 @@
 
 // New returns a keeper.
 func New(config Config) *Keeper {
+	if config.AskTimeout <= 0 {
+		config.AskTimeout = DefaultAskTimeout
+	}
 	return &Keeper{
 		config:    config,
 		startedAt: config.Clock.Now(),
 		tenants:   map[core.TenantName]*tenant{},
-		heard:     map[core.HostName]time.Time{},
 	}
 }
 
@@ -271,17 +276,16 @@
 
 func (k *Keeper) askHost(host core.Host, request core.GrantRequest) (core.GrantAnswer, error) {
 	if host.Name == k.config.Self.Name {
-		return k.grant(request)
+		return k.grant(request), nil
 	}
 	k.Counters.Asked.Add(1)
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), k.config.AskTimeout)
 	defer cancel()
 	answer, err := k.config.Peers.Grant(ctx, host.PeerAddress, request)
 	if err != nil {
 		k.Counters.AskFailures.Add(1)
 		return core.GrantAnswer{}, err
 	}
-	k.hear(host)
 	return answer, nil
 }
 
@@ -298,21 +302,18 @@
 // Grant implements core.GrantServer.
 func (k *Keeper) Grant(_ context.Context, request core.GrantRequest) (core.GrantAnswer, error) {
 	k.Counters.Answered.Add(1)
-	if ring := k.currentRing(); ring != nil {
-		if host, ok := ring.ZoneMember(request.Sender); ok {
-			k.hear(host)
-		}
-	}
-	return k.grant(request)
+	answer := k.grant(request)
+	answer.HasContact = k.config.ContactAge() <= maxContactAge
+	return answer, nil
 }
 
-func (k *Keeper) grant(request core.GrantRequest) (core.GrantAnswer, error) {
+func (k *Keeper) grant(request core.GrantRequest) core.GrantAnswer {
 	spec, ok := k.spec(request.Tenant)
 	ring := k.currentRing()
 	if !ok || ring == nil || request.Want <= 0 {
 		return core.GrantAnswer{
 			IsInactive: true,
-		}, nil
+		}
 	}
 	now := k.config.Clock.Now()
 	fill := k.fill(now, request.Tenant, spec, ring)
@@ -326,7 +327,7 @@
 		Granted:    granted,
 		RetryAfter: retryAfter,
 		IsInactive: !fill.Standing.IsGranter || granted == 0 && now.Before(fill.Standing.From),
-	}, nil
+	}
 }
 
 func (k *Keeper) fill(now time.Time, name core.TenantName, spec core.QuotaSpec, ring *quota.Ring) quota.Fill {
@@ -340,42 +341,41 @@
 }
 
 // share returns the part of its permits that this daemon hands out as a granter. One that has lost
-// contact with the store may have been replaced, and then serves only those daemons that are cut
-// off with it.
+// contact with the store may have been replaced, unless others have lost it too.
 func (k *Keeper) share(now time.Time, ring *quota.Ring) float64 {
-	if k.config.ContactAge() < k.config.ExpiryTime {
+	contactAge := k.config.ContactAge()
+	if contactAge < k.config.ExpiryTime/2 {
 		return 1
 	}
-	k.mu.RLock()
-	defer k.mu.RUnlock()
-	inTouch := 1
-	for _, at := range k.heard {
-		if now.Sub(at) < heardTime {
-			inTouch++
-		}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	share, isProbeDue := k.outage.Share(now, contactAge, k.config.ExpiryTime)
+	if isProbeDue {
+		go k.probe(ring.Probes(rand.Uint64()))
 	}
-	return min(float64(inTouch)/float64(max(ring.ZoneSize(), 1)), 1)
+	return share
 }
 
-// hear records a message of another daemon of the zone. Only a granter without contact to the store
-// needs to know, so that the times are not exact.
-func (k *Keeper) hear(host core.Host) {
-	if host.AvailabilityZone != k.config.Self.AvailabilityZone {
-		return
-	}
-	now := k.config.Clock.Now()
-	k.mu.RLock()
-	at := k.heard[host.Name]
-	k.mu.RUnlock()
-	if now.Sub(at) < heardTime/4 {
-		return
+// probe asks daemons whether they have contact with the store.
+func (k *Keeper) probe(hosts []core.Host) {
+	var answered, inContact atomic.Int64
+	var wg sync.WaitGroup
+	for _, host := range hosts {
+		wg.Go(func() {
+			answer, err := k.askHost(host, core.GrantRequest{
+				Sender: k.config.Self.Name,
+			})
+			if err != nil {
+				return
+			}
+			answered.Add(1)
+			if answer.HasContact {
+				inContact.Add(1)
+			}
+		})
 	}
+	wg.Wait()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for name, at := range k.heard {
-		if now.Sub(at) >= heardTime {
-			delete(k.heard, name)
-		}
-	}
-	k.heard[host.Name] = now
+	k.outage.Conclude(k.config.Clock.Now(), len(hosts), int(answered.Load()), int(inContact.Load()))
 }
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -116,6 +116,7 @@
 		Granted:    int(response.Msg.Granted),
 		RetryAfter: time.Duration(min(max(response.Msg.RetryAfterMs, 0), maxRetryAfterMs)) * time.Millisecond,
 		IsInactive: response.Msg.IsInactive,
+		HasContact: response.Msg.HasContact,
 	}, nil
 }
 
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -77,5 +77,6 @@
 		Granted:      uint32(min(max(answer.Granted, 0), maxWant)),
 		RetryAfterMs: answer.RetryAfter.Milliseconds(),
 		IsInactive:   answer.IsInactive,
+		HasContact:   answer.HasContact,
 	}), nil
 }
