quota: a daemon that may have been replaced waits before it grants again

Change: after a gap in the contact with the store it counts as new, unless the store was down for others too; savings shrink with the share of a granter; an outage counts as confirmed only by daemons that know the same daemons.

--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -20,7 +20,7 @@
 	Bounds   Bounds
 	// Zones is the number of zones among which the quota is divided, at least 1.
 	Zones int
-	// Share reduces the rate of a granter that may have been replaced, from 0 to 1.
+	// Share reduces rate and savings of a granter that may have been replaced, from 0 to 1.
 	Share float64
 }
 
@@ -66,5 +66,6 @@
 		b.level += rate * (full - reduced + time.Duration(startShare*float64(reduced))).Seconds()
 		b.filledAt = now
 	}
-	b.level = min(b.level, fill.Bounds.savings(fill.Spec, fill.Zones)/float64(fill.Zones))
+	// A successor has savings of its own.
+	b.level = min(b.level, fill.Share*fill.Bounds.savings(fill.Spec, fill.Zones)/float64(fill.Zones))
 }
--- a/core/quota/outage.go
+++ b/core/quota/outage.go
@@ -36,16 +36,32 @@
 	if isProbeDue {
 		o.probedAt = now
 	}
-	if contactAge < expiryTime || !o.confirmedAt.IsZero() && now.Sub(o.confirmedAt) < 2*probeInterval {
+	if contactAge < expiryTime || o.IsConfirmedAt(now) {
 		return 1, isProbeDue
 	}
 	return cutShare, isProbeDue
 }
 
-// Conclude applies the answers to a probe: of the daemons asked, the number that answered, and of these
-// the number with contact to the store.
-func (o *Outage) Conclude(now time.Time, asked, answered, inContact int) {
-	if asked > 0 && inContact == 0 && answered >= asked-asked*maxMissing/probeCount {
+// IsConfirmedAt reports whether the store was down for others too shortly before a time.
+func (o *Outage) IsConfirmedAt(at time.Time) bool {
+	return !o.confirmedAt.IsZero() && at.Sub(o.confirmedAt) < 2*probeInterval
+}
+
+// ProbeResult is what some daemons have answered.
+type ProbeResult struct {
+	Asked    int
+	Answered int
+	// InContact is the number of those that have contact with the store, Agreeing of those that know
+	// the same daemons as this one.
+	InContact int
+	Agreeing  int
+}
+
+// Conclude applies the answers to a probe. A daemon that was cut off until the store failed knows other
+// daemons than most.
+func (o *Outage) Conclude(now time.Time, result ProbeResult) {
+	isAnswered := result.Asked > 0 && result.Answered >= result.Asked-result.Asked*maxMissing/probeCount
+	if isAnswered && result.InContact == 0 && 2*result.Agreeing > result.Answered {
 		o.confirmedAt = now
 		return
 	}
--- a/core/quota/ring.go
+++ b/core/quota/ring.go
@@ -25,6 +25,8 @@
 	// rest.
 	zones []ringZone
 	size  int
+	// hash is equal for equal sets of daemons.
+	hash uint64
 	// departed holds the daemons of this daemon's zone that left within departureMemory.
 	departed []departure
 	// emptied holds the times at which zones lost their last daemon, within Fence.
@@ -73,10 +75,12 @@
 			})
 		}
 		zone := &r.zones[len(r.zones)-1]
-		zone.members = append(zone.members, ringMember{
+		member := ringMember{
 			hash: xxhash.Sum64String(string(host.Name)),
 			host: host,
-		})
+		}
+		zone.members = append(zone.members, member)
+		r.hash += score(0, member.hash)
 	}
 	if last != nil {
 		r.inherit(now, self.AvailabilityZone, last)
@@ -145,11 +149,25 @@
 	})
 }
 
+// Rejoined returns the ring for a daemon that may have been taken for gone until now.
+func (r *Ring) Rejoined(now time.Time) *Ring {
+	rejoined := *r
+	if !r.selfSince.IsZero() {
+		rejoined.selfSince = now
+	}
+	return &rejoined
+}
+
 // Size returns the number of daemons.
 func (r *Ring) Size() int {
 	return r.size
 }
 
+// Hash is equal for equal sets of daemons.
+func (r *Ring) Hash() uint64 {
+	return r.hash
+}
+
 // ZoneCount returns the number of zones among which quotas are divided. A zone that has lost its last
 // daemon counts for Fence longer.
 func (r *Ring) ZoneCount(now time.Time) int {
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -189,9 +189,13 @@
 	if n.isDown || n.isCut || w.now.Before(n.nextView) {
 		return
 	}
+	isLost := w.now.Sub(n.contactAt) >= 3*heartbeat && !n.outage.IsConfirmedAt(w.now)
 	n.contactAt = w.now
 	n.nextView = w.now.Add(time.Duration(w.random.Int64N(int64(viewLag))))
 	w.updateView(n)
+	if isLost && n.ring != nil {
+		n.ring = n.ring.Rejoined(w.now)
+	}
 }
 
 func (w *world) request(n *node) {
@@ -343,20 +347,25 @@
 
 // probe asks others whether they have contact with the store.
 func (w *world) probe(n *node) {
-	answered, inContact := 0, 0
 	hosts := n.ring.Probes(w.random.Uint64())
+	result := ProbeResult{
+		Asked: len(hosts),
+	}
 	for _, host := range hosts {
 		for _, other := range w.daemons {
 			if other.host.Name != host.Name || other.isDown || !w.isReachable(n, other) || w.random.Float64() < w.loss {
 				continue
 			}
-			answered++
+			result.Answered++
 			if w.now.Sub(other.contactAt) < 2*viewLag {
-				inContact++
+				result.InContact++
+			}
+			if other.ring != nil && other.ring.Hash() == n.ring.Hash() {
+				result.Agreeing++
 			}
 		}
 	}
-	n.outage.Conclude(w.now, len(hosts), answered, inContact)
+	n.outage.Conclude(w.now, result)
 }
 
 func (w *world) isReachable(from, to *node) bool {
--- a/core/registry.go
+++ b/core/registry.go
@@ -110,7 +110,7 @@
 type GrantRequest struct {
 	Sender HostName
 	Tenant TenantName
-	// Want is the number of permits, 0 if only HasContact is asked for.
+	// Want is the number of permits, 0 if only HasContact and MembersHash are asked for.
 	Want int
 }
 
@@ -124,6 +124,8 @@
 	IsInactive bool
 	// HasContact is set if the daemon has contact with the store, by itself or another daemon.
 	HasContact bool
+	// MembersHash is equal on daemons that know the same daemons, 0 if permits were asked for.
+	MembersHash uint64
 }
 
 // GrantClient asks other daemons for permits by address. Errors have the kinds PeerUnreachable and
--- a/io/follow/follower.go
+++ b/io/follow/follower.go
@@ -103,6 +103,9 @@
 	WatchWait time.Duration
 	// ReadsPerSecond is the read rate that the store allows all daemons together, 0 if unlimited.
 	ReadsPerSecond float64
+	// ContactGap is the time without contact to the store after which other daemons may have taken this
+	// one for gone; 0 means never.
+	ContactGap time.Duration
 	// OnChange is called after each change of what the request path uses. Optional.
 	OnChange func()
 }
@@ -145,6 +148,8 @@
 	isStale bool
 	// contactAt is the last contact with the store, by this daemon or the one that it follows.
 	contactAt time.Time
+	// contactSince is the end of the last gap between contacts of at least ContactGap.
+	contactSince time.Time
 	// seenPosition is the newest position of the store in an answer to this daemon.
 	seenPosition    core.StorePosition
 	watchAnsweredAt time.Time
@@ -336,6 +341,9 @@
 	f.mu.Lock()
 	now := f.config.Clock.Now()
 	if contactAt := now.Add(-age); contactAt.After(f.contactAt) {
+		if f.config.ContactGap > 0 && contactAt.Sub(f.contactAt) >= f.config.ContactGap {
+			f.contactSince = now
+		}
 		f.contactAt = contactAt
 	}
 	wasStoreDown := f.isStoreDown
--- a/io/follow/view.go
+++ b/io/follow/view.go
@@ -98,6 +98,14 @@
 	return f.config.Clock.Now().Sub(f.contactAt)
 }
 
+// ContactSince returns the time since which the daemon has had contact with the store without a gap of
+// ContactGap.
+func (f *Follower) ContactSince() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.contactSince
+}
+
 // SeenPosition returns the newest position of the store in an answer to this daemon.
 func (f *Follower) SeenPosition() core.StorePosition {
 	f.mu.Lock()
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -33,6 +33,8 @@
 	Hosts func() []core.Host
 	// ContactAge returns the time since the last contact with the store.
 	ContactAge func() time.Duration
+	// ContactSince returns the time since which there has been contact without a gap of ExpiryTime.
+	ContactSince func() time.Time
 	// ExpiryTime is the time after which other daemons do not count on a host any more that has lost
 	// contact with the store.
 	ExpiryTime time.Duration
@@ -56,7 +58,9 @@
 	mu      sync.RWMutex
 	tenants map[core.TenantName]*tenant
 	outage  quota.Outage
-	reports reports
+	// contactSince is the last known result of ContactSince.
+	contactSince time.Time
+	reports      reports
 }
 
 // Counters count the messages of a Keeper since its start.
@@ -107,6 +111,9 @@
 	if last != nil && last.HasSameHosts(hosts) {
 		return
 	}
+	if last == nil {
+		k.contactSince = k.config.ContactSince()
+	}
 	k.ring.Store(quota.NewRing(k.config.Clock.Now(), k.config.Self, hosts, last))
 }
 
@@ -303,13 +310,15 @@
 func (k *Keeper) Grant(_ context.Context, request core.GrantRequest) (core.GrantAnswer, error) {
 	k.Counters.Answered.Add(1)
 	answer := k.grant(request)
-	answer.HasContact = k.config.ContactAge() <= maxContactAge
+	if ring := k.currentRing(); request.Want == 0 && ring != nil {
+		answer.HasContact, answer.MembersHash = k.config.ContactAge() <= maxContactAge, ring.Hash()
+	}
 	return answer, nil
 }
 
 func (k *Keeper) grant(request core.GrantRequest) core.GrantAnswer {
 	spec, ok := k.spec(request.Tenant)
-	ring := k.currentRing()
+	ring := k.rejoin()
 	if !ok || ring == nil || request.Want <= 0 {
 		return core.GrantAnswer{
 			IsInactive: true,
@@ -340,6 +349,23 @@
 	}
 }
 
+// rejoin returns the current ring. After a gap in the contact with the store, this daemon counts as new in
+// it, since another one may have replaced it meanwhile.
+func (k *Keeper) rejoin() *quota.Ring {
+	ring := k.currentRing()
+	since := k.config.ContactSince()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if ring == nil || !since.After(k.contactSince) {
+		return ring
+	}
+	k.contactSince = since
+	if !k.outage.IsConfirmedAt(since) {
+		k.ring.Store(k.ring.Load().Rejoined(k.config.Clock.Now()))
+	}
+	return k.ring.Load()
+}
+
 // share returns the part of its permits that this daemon hands out as a granter. One that has lost
 // contact with the store may have been replaced, unless others have lost it too.
 func (k *Keeper) share(now time.Time, ring *quota.Ring) float64 {
@@ -351,31 +377,43 @@
 	defer k.mu.Unlock()
 	share, isProbeDue := k.outage.Share(now, contactAge, k.config.ExpiryTime)
 	if isProbeDue {
-		go k.probe(ring.Probes(rand.Uint64()))
+		go k.probe(ring)
 	}
 	return share
 }
 
 // probe asks daemons whether they have contact with the store.
-func (k *Keeper) probe(hosts []core.Host) {
-	var answered, inContact atomic.Int64
+func (k *Keeper) probe(ring *quota.Ring) {
+	hosts := ring.Probes(rand.Uint64())
+	answers := make([]*core.GrantAnswer, len(hosts))
 	var wg sync.WaitGroup
-	for _, host := range hosts {
+	for i, host := range hosts {
 		wg.Go(func() {
 			answer, err := k.askHost(host, core.GrantRequest{
 				Sender: k.config.Self.Name,
 			})
-			if err != nil {
-				return
-			}
-			answered.Add(1)
-			if answer.HasContact {
-				inContact.Add(1)
+			if err == nil {
+				answers[i] = &answer
 			}
 		})
 	}
 	wg.Wait()
+	result := quota.ProbeResult{
+		Asked: len(hosts),
+	}
+	for _, answer := range answers {
+		if answer == nil {
+			continue
+		}
+		result.Answered++
+		if answer.HasContact {
+			result.InContact++
+		}
+		if answer.MembersHash == ring.Hash() {
+			result.Agreeing++
+		}
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.outage.Conclude(k.config.Clock.Now(), len(hosts), int(answered.Load()), int(inContact.Load()))
+	k.outage.Conclude(k.config.Clock.Now(), result)
 }
--- a/io/quota/quota_test.go
+++ b/io/quota/quota_test.go
@@ -97,16 +97,17 @@
 	t.Cleanup(client.Close)
 	for i, server := range f.servers {
 		keeper := New(Config{
-			Self:       hosts[i],
-			Config:     newFakeConfig(1, spec),
-			Hosts:      func() []core.Host { return hosts },
-			ContactAge: func() time.Duration { return 0 },
-			ExpiryTime: time.Second,
-			Peers:      client,
-			Clock:      f,
-			Journal:    f.journal,
-			Bounds:     testBounds,
-			AskTimeout: time.Minute,
+			Self:         hosts[i],
+			Config:       newFakeConfig(1, spec),
+			Hosts:        func() []core.Host { return hosts },
+			ContactAge:   func() time.Duration { return 0 },
+			ContactSince: func() time.Time { return time.Time{} },
+			ExpiryTime:   time.Second,
+			Peers:        client,
+			Clock:        f,
+			Journal:      f.journal,
+			Bounds:       testBounds,
+			AskTimeout:   time.Minute,
 		})
 		keeper.Refresh()
 		f.keepers = append(f.keepers, keeper)
@@ -247,13 +248,14 @@
 		t.Run(tc.name, func(t *testing.T) {
 			c := qt.New(t)
 			keeper := New(Config{
-				Config:     newFakeConfig(1, tc.spec),
-				Hosts:      func() []core.Host { return nil },
-				ContactAge: func() time.Duration { return 0 },
-				Peers:      unusedPeers{t: t},
-				Clock:      kernel.SystemClock{},
-				Journal:    &fakeJournal{},
-				Bounds:     tc.bounds,
+				Config:       newFakeConfig(1, tc.spec),
+				Hosts:        func() []core.Host { return nil },
+				ContactAge:   func() time.Duration { return 0 },
+				ContactSince: func() time.Time { return time.Time{} },
+				Peers:        unusedPeers{t: t},
+				Clock:        kernel.SystemClock{},
+				Journal:      &fakeJournal{},
+				Bounds:       tc.bounds,
 			})
 			for range 100 {
 				c.Assert(keeper.Take(time.Now(), tc.tenant).IsWithin, qt.IsTrue)
@@ -281,12 +283,13 @@
 			RequestsPerSecond: 1e9,
 			Burst:             1e9,
 		}),
-		Hosts:      func() []core.Host { return []core.Host{host} },
-		ContactAge: func() time.Duration { return 0 },
-		ExpiryTime: time.Second,
-		Clock:      kernel.SystemClock{},
-		Journal:    &fakeJournal{},
-		Bounds:     testBounds,
+		Hosts:        func() []core.Host { return []core.Host{host} },
+		ContactAge:   func() time.Duration { return 0 },
+		ContactSince: func() time.Time { return time.Time{} },
+		ExpiryTime:   time.Second,
+		Clock:        kernel.SystemClock{},
+		Journal:      &fakeJournal{},
+		Bounds:       testBounds,
 	})
 	keeper.Refresh()
 	names := make([]core.TenantName, 0, 2000)
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -113,10 +113,11 @@
 		return core.GrantAnswer{}, core.Errorf(core.PeerMalformed, "%s granted %d permits, %d were wanted", address, response.Msg.Granted, request.Want)
 	}
 	return core.GrantAnswer{
-		Granted:    int(response.Msg.Granted),
-		RetryAfter: time.Duration(min(max(response.Msg.RetryAfterMs, 0), maxRetryAfterMs)) * time.Millisecond,
-		IsInactive: response.Msg.IsInactive,
-		HasContact: response.Msg.HasContact,
+		Granted:     int(response.Msg.Granted),
+		RetryAfter:  time.Duration(min(max(response.Msg.RetryAfterMs, 0), maxRetryAfterMs)) * time.Millisecond,
+		IsInactive:  response.Msg.IsInactive,
+		HasContact:  response.Msg.HasContact,
+		MembersHash: response.Msg.MembersHash,
 	}, nil
 }
 
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -78,5 +78,6 @@
 		RetryAfterMs: answer.RetryAfter.Milliseconds(),
 		IsInactive:   answer.IsInactive,
 		HasContact:   answer.HasContact,
+		MembersHash:  answer.MembersHash,
 	}), nil
 }
