--- a/core/quota/bounds.go
+++ b/core/quota/bounds.go
@@ -19,9 +19,12 @@
 	// waits before it grants. It is longer than a change takes to reach all daemons that have
 	// contact with the store.
 	Fence = 2 * time.Second
-	// startShare is the part of its rate that a daemon grants within Fence of its start. It cannot
+	// startShare is the part of its rate that a daemon grants within startTime of its start. It cannot
 	// know whether it was the granter before.
-	startShare = 1.0 / 3
+	startShare = 0.5
+	startTime  = 1400 * time.Millisecond
+	// startPermits is the number of permits that a granter has at its start, as far as the slack allows.
+	startPermits = 1
 )
 
 // Bounds are what callers accept beyond a quota: in no time of length Window more requests than
@@ -48,9 +51,9 @@
 func (b Bounds) reserve(spec core.QuotaSpec, zones int) int {
 	burst := float64(spec.Burst)
 	saved := b.savings(spec, zones) - burst
-	late := spec.RequestsPerSecond * (PermitLifetime.Seconds() + startShare*Fence.Seconds())
+	late := spec.RequestsPerSecond * (PermitLifetime.Seconds() + startShare*startTime.Seconds())
 	overage := b.Overage * (spec.RequestsPerSecond*b.Window.Seconds() + burst)
-	return max(int(min(overage-saved-late, 0)+b.Slack), 0)
+	return max(int(min(overage-saved-late, 0)+b.Slack-b.startLevel(zones)*float64(zones)), 0)
 }
 
 // savings is the number of permits that all granters together may save up. It is the burst, but at least
@@ -59,3 +62,8 @@
 	burst := float64(spec.Burst)
 	return max(burst, spec.RequestsPerSecond*minBurstTime.Seconds(), min(minSavings*float64(zones), burst+b.Slack/2), float64(zones))
 }
+
+// startLevel is the number of permits that a granter has at its start.
+func (b Bounds) startLevel(zones int) float64 {
+	return min(startPermits, b.Slack/2/float64(zones))
+}
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -58,6 +58,9 @@
 	from := fill.Standing.From
 	if b.filledAt.Before(from) {
 		b.level, b.filledAt = 0, from
+		if !fill.Standing.ReducedUntil.IsZero() {
+			b.level = fill.Bounds.startLevel(fill.Zones)
+		}
 	}
 	if now.After(b.filledAt) {
 		rate := fill.Spec.RequestsPerSecond / float64(fill.Zones) * fill.Share
--- a/core/quota/ring.go
+++ b/core/quota/ring.go
@@ -195,7 +195,8 @@
 	IsGranter bool
 	// From is the time from which on it grants, which may be in the future.
 	From time.Time
-	// ReducedUntil is the end of the time after From in which it grants only startShare.
+	// ReducedUntil is the end of the time after From in which it grants only startShare; zero if it did
+	// not begin to grant at its start.
 	ReducedUntil time.Time
 }
 
@@ -211,7 +212,7 @@
 	standing := Standing{
 		IsGranter:    true,
 		From:         r.startedAt,
-		ReducedUntil: r.startedAt.Add(Fence),
+		ReducedUntil: r.startedAt.Add(startTime),
 	}
 	since := r.selfSince
 	own := score(seed, xxhash.Sum64String(string(r.self)))
