--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -210,3 +210,75 @@
 		})
 	}
 }
+
+// TestBoundAtEdges repeats single faults, timed for the most harm, while a tenant sends 30 times its quota to
+// all daemons.
+func TestBoundAtEdges(t *testing.T) {
+	cases := []struct {
+		name    string
+		zones   int
+		perZone int
+		rate    float64
+		burst   int
+		// fault is called every period with its number.
+		period time.Duration
+		fault  func(w *world, number int)
+	}{
+		{name: "registrations end and come back", zones: 1, perZone: 4, rate: 150, period: 700 * time.Millisecond, fault: func(w *world, number int) {
+			for i, n := range w.daemons {
+				n.isRemoved = i == number%len(w.daemons)
+			}
+		}},
+		{name: "granter cut off with half of its zone", zones: 1, perZone: 2, rate: 150, period: 15 * time.Second, fault: func(w *world, number int) {
+			w.cutGranters(number == 0)
+		}},
+		{name: "granters cut off and back", zones: 2, perZone: 2, rate: 150, burst: 300, period: 7 * time.Second, fault: func(w *world, number int) {
+			w.cutGranters(number%2 == 0)
+		}},
+		{name: "store down for all when a granter is back", zones: 1, perZone: 2, rate: 150, period: 9 * time.Second, fault: func(w *world, number int) {
+			w.cutGranters(number == 0)
+			w.isStoreDown = number == 1
+		}},
+		{name: "all restarted", zones: 3, perZone: 2, rate: 150, burst: 300, period: 500 * time.Millisecond, fault: func(w *world, _ int) {
+			for _, n := range w.daemons {
+				w.start(n)
+			}
+		}},
+		{name: "all restarted with a small quota", zones: 3, perZone: 6, rate: 1, period: 2500 * time.Millisecond, fault: func(w *world, _ int) {
+			for _, n := range w.daemons {
+				w.start(n)
+			}
+		}},
+		{name: "zones emptied and filled", zones: 3, perZone: 2, rate: 150, period: 2 * time.Second, fault: func(w *world, number int) {
+			for i, n := range w.daemons {
+				n.isRemoved = number%2 == 0 && i%3 > 0
+			}
+		}},
+		{name: "each alone", zones: 3, perZone: 2, rate: 1, period: 10 * time.Second, fault: func(w *world, number int) {
+			for i, n := range w.daemons {
+				n.isCut, n.group = number == 0, i
+			}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				w := newWorld(rand.New(rand.NewPCG(seed, 3)), tc.zones, tc.perZone, core.QuotaSpec{
+					RequestsPerSecond: tc.rate,
+					Burst:             tc.burst,
+				})
+				for _, n := range w.daemons {
+					n.load = 30 * w.spec.RequestsPerSecond / float64(len(w.daemons))
+				}
+				run(w, 5*time.Second)
+				for number := range int(20*time.Second/tc.period) + 1 {
+					tc.fault(w, number)
+					run(w, tc.period)
+				}
+				ratio, at := w.worstWindow()
+				t.Logf("worst window %.2f of the limit at %v", ratio, at.Sub(time.Unix(1000, 0)))
+				qt.Assert(t, ratio <= 1, qt.IsTrue)
+			}
+		})
+	}
+}
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -368,6 +368,15 @@
 	n.outage.Conclude(w.now, result)
 }
 
+// cutGranters cuts off the granters of all zones, each alone, or ends that for all daemons.
+func (w *world) cutGranters(isCut bool) {
+	granters := NewRing(w.now, w.daemons[0].host, w.hosts(), nil).Granters(tenant)
+	for i, n := range w.daemons {
+		isGranter := slices.ContainsFunc(granters, func(host core.Host) bool { return host.Name == n.host.Name })
+		n.isCut, n.group = isCut && isGranter, i
+	}
+}
+
 func (w *world) isReachable(from, to *node) bool {
 	return !from.isCut && !to.isCut || from.isCut && to.isCut && from.group == to.group
 }
