quota: part of the overage makes up for permits that expire unused

Change: granters hand out 0.4 of the overage in addition, as far as the burst pays for it in the bound.

--- a/core/quota/bounds.go
+++ b/core/quota/bounds.go
@@ -23,6 +23,9 @@
 	// know whether it was the granter before.
 	startShare = 0.5
 	startTime  = 1400 * time.Millisecond
+	// extraShare is the part of the overage that is granted in addition to the rate. It makes up for
+	// permits that are not used within their lifetime, so that a tenant at its quota gets it.
+	extraShare = 0.4
 	// startPermits is the number of permits that a granter has at its start, as far as the slack allows.
 	startPermits = 1
 )
@@ -52,8 +55,9 @@
 	burst := float64(spec.Burst)
 	saved := b.savings(spec, zones) - burst
 	late := spec.RequestsPerSecond * (PermitLifetime.Seconds() + startShare*startTime.Seconds())
+	extra := (b.rate(spec) - spec.RequestsPerSecond) * b.Window.Seconds()
 	overage := b.Overage * (spec.RequestsPerSecond*b.Window.Seconds() + burst)
-	return max(int(min(overage-saved-late, 0)+b.Slack-b.startLevel(zones)*float64(zones)), 0)
+	return max(int(min(overage-extra-saved-late, 0)+b.Slack-b.startLevel(zones)*float64(zones)), 0)
 }
 
 // savings is the number of permits that all granters together may save up. It is the burst, but at least
@@ -67,3 +71,9 @@
 func (b Bounds) startLevel(zones int) float64 {
 	return min(startPermits, b.Slack/2/float64(zones))
 }
+
+// rate returns the number of permits a second that all granters together hand out. The overage of the
+// burst pays for what exceeds the rate.
+func (b Bounds) rate(spec core.QuotaSpec) float64 {
+	return spec.RequestsPerSecond + extraShare*b.Overage*min(spec.RequestsPerSecond, float64(spec.Burst))
+}
--- a/core/quota/bucket.go
+++ b/core/quota/bucket.go
@@ -36,7 +36,7 @@
 	if granted > 0 {
 		return granted, 0
 	}
-	rate := fill.Spec.RequestsPerSecond / float64(fill.Zones) * fill.Share
+	rate := fill.Bounds.rate(fill.Spec) / float64(fill.Zones) * fill.Share
 	if rate <= 0 {
 		return 0, 0
 	}
@@ -63,7 +63,7 @@
 		}
 	}
 	if now.After(b.filledAt) {
-		rate := fill.Spec.RequestsPerSecond / float64(fill.Zones) * fill.Share
+		rate := fill.Bounds.rate(fill.Spec) / float64(fill.Zones) * fill.Share
 		full := now.Sub(b.filledAt)
 		reduced := max(min(fill.Standing.ReducedUntil.Sub(b.filledAt), full), 0)
 		b.level += rate * (full - reduced + time.Duration(startShare*float64(reduced))).Seconds()
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -244,6 +244,11 @@
 				w.start(n)
 			}
 		}},
+		{name: "daemons come and go with a burst", zones: 1, perZone: 4, rate: 150, burst: 150, period: 700 * time.Millisecond, fault: func(w *world, number int) {
+			n := w.daemons[number%len(w.daemons)]
+			n.isRemoved = !n.isRemoved
+			w.start(n)
+		}},
 		{name: "all restarted with a small quota", zones: 3, perZone: 6, rate: 1, period: 2500 * time.Millisecond, fault: func(w *world, _ int) {
 			for _, n := range w.daemons {
 				w.start(n)
