--- a/core/registry.go
+++ b/core/registry.go
@@ -106,6 +106,39 @@
 	Follow(ctx context.Context, request FollowRequest) (FollowAnswer, error)
 }
 
+// GrantRequest asks another daemon for permits of a tenant.
+type GrantRequest struct {
+	Sender HostName
+	Tenant TenantName
+	// Want is the number of permits, 0 if only HasContact and MembersHash are asked for.
+	Want int
+}
+
+// GrantAnswer holds the permits that a daemon hands out.
+type GrantAnswer struct {
+	// Granted is from 0 to the number wanted.
+	Granted int
+	// RetryAfter is the time after which a further permit may be available, 0 if unknown.
+	RetryAfter time.Duration
+	// IsInactive is set if the daemon grants no permits of the tenant now.
+	IsInactive bool
+	// HasContact is set if the daemon has contact with the store, by itself or another daemon.
+	HasContact bool
+	// MembersHash is equal on daemons that know the same daemons, 0 if permits were asked for.
+	MembersHash uint64
+}
+
+// GrantClient asks other daemons for permits by address. Errors have the kinds PeerUnreachable and
+// PeerMalformed.
+type GrantClient interface {
+	Grant(ctx context.Context, address string, request GrantRequest) (GrantAnswer, error)
+}
+
+// GrantServer answers requests of other daemons for permits.
+type GrantServer interface {
+	Grant(ctx context.Context, request GrantRequest) (GrantAnswer, error)
+}
+
 // UpstreamRecord is the registration of an upstream, written by the upstream itself.
 type UpstreamRecord struct {
 	// Host has the state HostLive or HostLeaving and an Instance.
