route: expected answers count like requests in the price of a way

Change: the entry learns the mean size of a route's answers, and ChooseByCost adds it to the bytes of the request.

--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -20,8 +20,9 @@
 // Balancer chooses the upstream of each attempt. It is safe for concurrent use. Choose takes
 // no lock unless members or snapshot changed or the request goes to another region.
 type Balancer struct {
-	config BalancerConfig
-	budget regionBudget
+	config  BalancerConfig
+	budget  regionBudget
+	answers answerSizes
 	// mu guards writes to services and to the states in it.
 	mu       sync.Mutex
 	services atomic.Pointer[map[core.ServiceName]*serviceState]
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -24,8 +24,8 @@
 	// otherZoneCost and otherRegionCost stand for the longer network path and the paid link.
 	otherZoneCost   = 0.1
 	otherRegionCost = 0.5
-	// otherZoneBytes and otherRegionBytes are the request sizes whose transfer costs as much as
-	// a whole latency target.
+	// otherZoneBytes and otherRegionBytes are the sizes of request and expected answer together whose
+	// transfer costs as much as a whole latency target.
 	otherZoneBytes   = 240 << 10
 	otherRegionBytes = 120 << 10
 	// failureCost is added for an upstream that fails all requests while the others are healthy.
@@ -162,6 +162,7 @@
 func (b *Balancer) cheapest(now time.Time, query Query, candidates []candidate) *candidate {
 	meanTime := meanServiceTime(query, candidates)
 	meanFailures := meanFailureRatio(now, candidates)
+	answerBytes := b.answers.of(query.Route)
 	var best *candidate
 	var least float64
 	for i := range candidates {
@@ -169,7 +170,7 @@
 		if !c.isReported {
 			c.serviceTime = meanTime
 		}
-		cost := b.cost(now, query, c, meanFailures)
+		cost := b.cost(now, query, c, answerBytes, meanFailures)
 		if best == nil || cost < least {
 			best, least = c, cost
 		}
@@ -214,9 +215,9 @@
 	return q.Target
 }
 
-// cost returns the cost of a candidate, given the mean failure ratio.
-func (b *Balancer) cost(now time.Time, query Query, c *candidate, meanFailures float64) float64 {
-	bytes := float64(query.Bytes + query.DeclaredBytes)
+// cost returns the cost of a candidate, given the expected size of the answer and the mean failure ratio.
+func (b *Balancer) cost(now time.Time, query Query, c *candidate, answerBytes int64, meanFailures float64) float64 {
+	bytes := float64(query.Bytes + query.DeclaredBytes + answerBytes)
 	latency := c.serviceTime
 	inFlight, limit := c.upstream.projectedLoad(now, 1)
 	utilization := inFlight / limit
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -294,6 +294,7 @@
 		previous = &entryView{}
 	} else {
 		view.table.InheritSplits(previous.table)
+		e.balancer.ForgetRoutes(snapshot)
 	}
 	if e.config.NewBudget != nil {
 		for name := range snapshot.Services {
--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -71,6 +71,15 @@
 	return err
 }
 
+// countAnswer records an answer that was passed on completely.
+func (c *call) countAnswer() {
+	c.entry.Counters.Answers.Add(1)
+	if c.reply.status < http.StatusMultipleChoices {
+		c.entry.balancer.RecordAnswerBytes(c.route.Spec.Name, c.reply.bytes)
+	}
+	c.logAnswer("", c.reply.status, "")
+}
+
 // end removes the write deadline, which would otherwise apply to the next answer on the
 // connection.
 func (r *reply) end() {
--- a/io/proxy/entry_local.go
+++ b/io/proxy/entry_local.go
@@ -46,8 +46,7 @@
 			c.reply.w.Header()[name] = values
 		}
 	}
-	c.entry.Counters.Answers.Add(1)
-	c.logAnswer("", c.reply.status, "")
+	c.countAnswer()
 	return result{
 		answered: true,
 	}
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -372,8 +372,7 @@
 	for name, values := range response.Trailer {
 		c.reply.w.Header()[http.TrailerPrefix+name] = values
 	}
-	c.entry.Counters.Answers.Add(1)
-	c.logAnswer("", c.reply.status, "")
+	c.countAnswer()
 }
 
 // abort aborts the caller's connection, so that the caller sees that the answer is incomplete.
