route: a choice compares a few upstreams by the whole time to an answer

Cause: each choice walked all upstreams, most of whose reports were out of date and made them look empty; the slowness that upstreams report, the speed of links and what waits for them were not used. Change: - an entry uses a subset of each tier by rendezvous hashing and compares some of it, more if all are full; - without a recent report, an upstream has the mean load of its zone and its own usual slowness; - gatekeepers report the slowness of the moment, the speed of their link and the answers that wait for it; - the time to an answer includes its transfer. TestChoiceAllocatesNothing, TestLargeFleetStaysFresh and TestFullSubsetIsLeft hold.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -116,6 +116,7 @@
 	assumedColdUntil time.Time
 	starts           startWindow
 	serviceTimes     serviceTimes
+	slowness         slowness
 	// answeredAt is the time of the latest answer, or of the first start after it if no request
 	// was running.
 	answeredAt time.Time
--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -45,6 +45,7 @@
 	}
 	if before == nil || upstream == nil || before.Instance != upstream.Instance {
 		c.serviceTimes.reset()
+		c.slowness = slowness{}
 		c.assumedColdUntil = time.Time{}
 	}
 	if c.snapshot == nil {
@@ -140,6 +141,8 @@
 	ServiceTime time.Duration
 	// FailureRatio is the share of the latest requests that failed, from 0 to 1.
 	FailureRatio float64
+	// Slowness is the factor by which work takes longer now than ServiceTime says, 0 if unknown.
+	Slowness float64
 }
 
 // Estimate returns the estimate for a new request of a route, based on the requests so far.
@@ -154,5 +157,6 @@
 		QueueTime:    c.queueTimeForRank(now, rankOf(spec, spec.Priority), overall),
 		ServiceTime:  serviceTime,
 		FailureRatio: c.serviceTimes.failureRatio,
+		Slowness:     c.slowness.relative(now),
 	}
 }
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -28,6 +28,9 @@
 	SetUpstreamHeaders(header http.Header, instance string, left time.Duration)
 	// ClassifyAnswer tells what the answer of an upstream means for the request.
 	ClassifyAnswer(request http.Header, status int, answer http.Header) AnswerClass
+	// UpstreamLoad returns the load that an upstream reports with an answer; ok is false if it reports
+	// none.
+	UpstreamLoad(answer http.Header) (load UpstreamLoad, ok bool)
 	// SetRefusalHeaders sets the headers of a refusal for the caller and returns its status.
 	SetRefusalHeaders(header http.Header, refusal Refusal) (status int)
 }
@@ -46,6 +49,16 @@
 	Detail   string
 }
 
+// UpstreamLoad is the load that an upstream reports.
+type UpstreamLoad struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Slowness is the factor by which work takes longer on the upstream's host at this moment than
+	// usual; 0 if the upstream does not report it.
+	Slowness float64
+}
+
 // Refusal is an error answer of the daemon itself to a caller.
 type Refusal struct {
 	Kind      ErrorKind
--- a/core/route/answersize.go
+++ b/core/route/answersize.go
@@ -72,4 +72,5 @@
 // ForgetRoutes removes what is known of routes that the snapshot lacks.
 func (b *Balancer) ForgetRoutes(snapshot *core.Snapshot) {
 	b.answers.prune(snapshot)
+	b.serviceTimes.prune(snapshot)
 }
--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -15,6 +15,8 @@
 	Self core.Host
 	// Random returns uniformly distributed numbers. It must be safe for concurrent use.
 	Random func() uint64
+	// LinkRate is the speed of the local host's link in bytes per second, 0 if unknown.
+	LinkRate int64
 }
 
 // Balancer chooses the upstream of each attempt. It is safe for concurrent use. Choose takes
@@ -23,6 +25,8 @@
 	config  BalancerConfig
 	budget  regionBudget
 	answers answerSizes
+	// serviceTimes holds the mean service time of each route over all upstreams.
+	serviceTimes routeTimes
 	// mu guards writes to services and to the states in it.
 	mu       sync.Mutex
 	services atomic.Pointer[map[core.ServiceName]*serviceState]
@@ -33,6 +37,8 @@
 	group atomic.Pointer[group]
 	// upstreams holds the state of each host. It is kept when the group is rebuilt.
 	upstreams map[core.HostName]*upstream
+	// zones holds the load of each availability zone that has an upstream.
+	zones map[core.AvailabilityZone]*zoneLoad
 }
 
 // group holds the upstreams of one service by locality, for one member list and one snapshot.
@@ -55,6 +61,8 @@
 	region    core.Region
 	distance  int
 	upstreams []*upstream
+	// subset holds those of upstreams that this entry uses as long as they have capacity.
+	subset []*upstream
 }
 
 // Query describes one attempt.
@@ -115,7 +123,7 @@
 
 // Choose returns the upstream for one attempt; ok is false if there is none.
 func (b *Balancer) Choose(now time.Time, query Query) (choice Choice, ok bool) {
-	g := b.group(query)
+	g := b.group(&query)
 	for _, tiers := range [][]tier{g.alive, g.suspect} {
 		for round := withFreeSlot; round <= anyUpstream; round++ {
 			if choice, ok = b.chooseFromTiers(now, query, g, tiers, round); ok {
@@ -172,7 +180,7 @@
 		if round == withFreeSlot {
 			return u
 		}
-		if score, _ := u.score(now, g.slots); best == nil || score < bestScore {
+		if score, _ := u.score(momentOf(now), g.slots); best == nil || score < bestScore {
 			best, bestScore = u, score
 		}
 	}
@@ -189,8 +197,8 @@
 	if other == nil {
 		return a
 	}
-	scoreA, _ := a.score(now, g.slots)
-	scoreB, _ := other.score(now, g.slots)
+	scoreA, _ := a.score(momentOf(now), g.slots)
+	scoreB, _ := other.score(momentOf(now), g.slots)
 	if scoreB < scoreA {
 		return other
 	}
@@ -224,13 +232,13 @@
 	}
 	switch round {
 	case withFreeSlot:
-		if u.inBackoff(now) {
+		if u.inBackoff(momentOf(now)) {
 			return false
 		}
-		_, full := u.score(now, g.slots)
+		_, full := u.score(momentOf(now), g.slots)
 		return !full
 	case notInBackoff:
-		return !u.inBackoff(now)
+		return !u.inBackoff(momentOf(now))
 	default:
 		return true
 	}
@@ -254,7 +262,7 @@
 // in an availability zone taken out, since it then has another upstream run the request. ok is
 // false if the host is dead or no member, outside the home regions or over the cross-region budget.
 func (b *Balancer) ChooseOwner(now time.Time, query Query, host core.HostName) (choice Choice, ok bool) {
-	g := b.group(query)
+	g := b.group(&query)
 	for _, tiers := range [][]tier{g.alive, g.suspect, g.excluded} {
 		for _, t := range tiers {
 			for _, u := range t.upstreams {
@@ -279,13 +287,13 @@
 
 // RecordLoad records the load that an upstream reported.
 func (b *Balancer) RecordLoad(now time.Time, choice Choice, inFlight, limit int) {
-	choice.upstream.report(now, inFlight, limit)
+	choice.upstream.report(momentOf(now), inFlight, limit)
 }
 
 // RecordRefusal records a refusal of the given kind, which is NoUpstream for a failed connection.
 func (b *Balancer) RecordRefusal(now time.Time, choice Choice, kind core.ErrorKind) {
 	if policy, ok := backoffs[kind]; ok {
-		choice.upstream.refused(now, policy, b.config.Random())
+		choice.upstream.refused(momentOf(now), policy, b.config.Random())
 	}
 }
 
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"verbenaway/core"
@@ -42,6 +41,9 @@
 	// maxReportAge is the age at which a reported service time or failure ratio no longer counts.
 	// Until the next report the upstream is treated as an average one.
 	maxReportAge = 4 * time.Second
+	// maxSlownessAge is the age at which a reported slowness no longer counts. Other programs on the host
+	// of an upstream come and go within fractions of a second.
+	maxSlownessAge = 500 * time.Millisecond
 	// defaultLatencyTarget applies to routes without a latency target.
 	defaultLatencyTarget = time.Second
 	// defaultServiceTimeShare is the service time of a route that no upstream has reported, as
@@ -66,17 +68,27 @@
 	ServiceTime time.Duration
 	// FailureRatio is the share of recent requests that failed, from 0 to 1.
 	FailureRatio float64
+	// Slowness is the factor by which work takes longer at this moment than ServiceTime, 0 if unknown.
+	Slowness float64
+	// LinkRate is the speed of the host's link in bytes per second, 0 if unknown. LinkWait is the time
+	// that an answer would wait for the link.
+	LinkRate int64
+	LinkWait time.Duration
 }
 
 // RecordLoadReport records the load report of a gatekeeper for a route.
 func (b *Balancer) RecordLoadReport(now time.Time, choice Choice, route core.RouteName, report LoadReport) {
-	u := choice.upstream
-	u.report(now, report.InFlight, report.Limit)
+	u, at := choice.upstream, momentOf(now)
+	u.report(at, report.InFlight, report.Limit)
 	u.failureRatioBits.Store(math.Float64bits(report.FailureRatio))
-	u.slotFreeAt.Store(monotonicNanos(now.Add(report.QueueTime)))
+	u.slotFreeAt.Store(int64(at.add(report.QueueTime)))
+	u.slownessBits.Store(math.Float64bits(report.Slowness))
+	u.linkRate.Store(report.LinkRate)
+	u.linkFreeAt.Store(int64(at.add(report.LinkWait)))
 	if report.ServiceTime <= 0 {
 		return
 	}
+	u.recordUsualSlowness(at, b.serviceTimes.add(route, report.ServiceTime))
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.serviceTimes == nil {
@@ -84,24 +96,24 @@
 	}
 	u.serviceTimes[route] = serviceTime{
 		duration:   report.ServiceTime,
-		reportedAt: monotonicNanos(now),
+		reportedAt: int64(at),
 	}
 }
 
 // serviceTimeOf returns the service time of a route; ok is false without a recent report.
-func (u *upstream) serviceTimeOf(now time.Time, route core.RouteName) (time.Duration, bool) {
+func (u *upstream) serviceTimeOf(now moment, route core.RouteName) (time.Duration, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	known, ok := u.serviceTimes[route]
-	if !ok || monotonicNanos(now)-known.reportedAt > int64(maxReportAge) {
+	if !ok || int64(now)-known.reportedAt > int64(maxReportAge) {
 		return 0, false
 	}
 	return known.duration, true
 }
 
 // failureRatio returns the share of recent requests that failed, 0 without a recent report.
-func (u *upstream) failureRatio(now time.Time) float64 {
-	if monotonicNanos(now)-u.loadAt.Load() > int64(maxReportAge) {
+func (u *upstream) failureRatio(now moment) float64 {
+	if int64(now)-u.loadAt.Load() > int64(maxReportAge) {
 		return 0
 	}
 	return math.Float64frombits(u.failureRatioBits.Load())
@@ -114,75 +126,109 @@
 	serviceTime time.Duration
 	// isReported is false if serviceTime is an estimate.
 	isReported bool
+	// transfer is the time that request and answer take on the links.
+	transfer time.Duration
 }
 
 // ChooseByCost returns the upstream with the lowest cost for one attempt; ok is false if there
 // is none. Upstreams in backoff come last; those in backoff because they were unavailable are left
 // out.
 func (b *Balancer) ChooseByCost(now time.Time, query Query) (choice Choice, ok bool) {
-	g := b.group(query)
-	for _, includeBackoff := range []bool{false, true} {
-		candidates := b.candidates(now, query, g, includeBackoff)
-		if best := b.cheapest(now, query, candidates); best != nil {
+	g := b.group(&query)
+	at := momentOf(now)
+	var space [maxCandidates]candidate
+	for _, includeBackoff := range [...]bool{false, true} {
+		candidates := b.candidates(now, &query, g, includeBackoff, space[:0])
+		if best := b.cheapest(at, &query, candidates); best != nil {
+			if best.tier.distance == otherRegion {
+				b.budget.charge(now, query.Bytes)
+			}
 			choice = newChoice(best.upstream, best.tier.distance == otherRegion)
-			choice.HasFreeSlot = !best.upstream.isFull(now, g.slots)
-			choice.expectedLatency = max(best.serviceTime, minExpectedLatency)
-			choice.answerRate = best.upstream.sent(now, choice.expectedLatency)
+			choice.HasFreeSlot = !best.upstream.isFull(at, g.slots)
+			choice.expectedLatency = max(best.serviceTime+best.transfer, minExpectedLatency)
+			choice.answerRate = best.upstream.sent(at, choice.expectedLatency)
 			return choice, true
 		}
 	}
 	return Choice{}, false
 }
 
-// candidates returns the upstreams that are eligible for the request.
-func (b *Balancer) candidates(now time.Time, query Query, g *group, includeBackoff bool) []candidate {
-	var found []candidate
+// candidates returns upstreams to compare for the request: some of the subsets; if these are all full,
+// also others; and all if no upstream is eligible otherwise.
+func (b *Balancer) candidates(now time.Time, query *Query, g *group, includeBackoff bool, found []candidate) []candidate {
+	at := momentOf(now)
+	var usable [maxTiers]*tier
+	tiers := usable[:0]
 	for i := range g.alive {
 		t := &g.alive[i]
-		if !query.HomeRegions.Allows(t.region) || t.distance == otherRegion && !b.budget.canTake(now, b.crossRegionRate(query), query.Bytes+query.DeclaredBytes) {
+		if !query.HomeRegions.Allows(t.region) || t.distance == otherRegion && !b.budget.canTake(now, b.crossRegionRate(*query), query.Bytes+query.DeclaredBytes) {
 			continue
 		}
-		for _, u := range t.upstreams {
-			if slices.Contains(query.Tried, u.host.Name) || !u.mayTry(now, includeBackoff) {
-				continue
-			}
-			c := candidate{
-				tier:     t,
-				upstream: u,
-			}
-			c.serviceTime, c.isReported = u.serviceTimeOf(now, query.Route)
-			found = append(found, c)
+		tiers = append(tiers, t)
+	}
+	for _, t := range tiers {
+		draws := remoteDraws
+		if t.distance == sameZone {
+			draws = localDraws
 		}
+		found = b.sample(at, query, t, t.subset, draws, includeBackoff, found)
+	}
+	if hasFree(at, g, found) {
+		return found
+	}
+	for _, t := range tiers {
+		if len(t.subset) < len(t.upstreams) {
+			found = b.sample(at, query, t, t.upstreams, overflowDraws, includeBackoff, found)
+		}
+	}
+	if len(found) > 0 {
+		return found
+	}
+	for _, t := range tiers {
+		found = b.scan(at, query, t, t.upstreams, includeBackoff, found)
 	}
 	return found
 }
 
-// cheapest returns the candidate with the lowest cost, nil if there is none. The bytes of the
-// request are charged if it is in another region.
-func (b *Balancer) cheapest(now time.Time, query Query, candidates []candidate) *candidate {
+// maxTiers is the number of tiers for which no memory is allocated.
+const maxTiers = 8
+
+// hasFree reports whether a candidate seems to have a free slot.
+func hasFree(now moment, g *group, candidates []candidate) bool {
+	for i := range candidates {
+		if !candidates[i].upstream.isFull(now, g.slots) {
+			return true
+		}
+	}
+	return false
+}
+
+// cheapest returns the candidate with the lowest cost, nil if there is none.
+func (b *Balancer) cheapest(now moment, query *Query, candidates []candidate) *candidate {
 	meanTime := meanServiceTime(query, candidates)
 	meanFailures := meanFailureRatio(now, candidates)
-	answerBytes := b.answers.of(query.Route)
+	bytes := query.Bytes + query.DeclaredBytes + b.answers.of(query.Route)
 	var best *candidate
 	var least float64
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.isReported {
-			c.serviceTime = meanTime
+			c.serviceTime = time.Duration(float64(meanTime) * c.upstream.usualSlowness(now))
 		}
-		cost := b.cost(now, query, c, answerBytes, meanFailures)
+		c.serviceTime = time.Duration(float64(c.serviceTime) * c.upstream.slowness(now))
+		if c.upstream.host.Name != b.config.Self.Name {
+			c.transfer = c.upstream.transferTime(now, bytes, b.config.LinkRate)
+		}
+		cost := b.cost(now, query, c, bytes, meanFailures)
 		if best == nil || cost < least {
 			best, least = c, cost
 		}
 	}
-	if best != nil && best.tier.distance == otherRegion {
-		b.budget.charge(now, query.Bytes)
-	}
 	return best
 }
 
 // meanServiceTime returns the mean of the service times that the candidates reported.
-func meanServiceTime(query Query, candidates []candidate) time.Duration {
+func meanServiceTime(query *Query, candidates []candidate) time.Duration {
 	var sum time.Duration
 	reported := 0
 	for _, c := range candidates {
@@ -200,7 +246,7 @@
 // meanFailureRatio returns the mean failure ratio. Failures that all upstreams share, such as
 // those of a service that each of them calls, are no reason to leave the local availability zone
 // or region.
-func meanFailureRatio(now time.Time, candidates []candidate) float64 {
+func meanFailureRatio(now moment, candidates []candidate) float64 {
 	sum := 0.0
 	for _, c := range candidates {
 		sum += c.upstream.failureRatio(now)
@@ -215,11 +261,11 @@
 	return q.Target
 }
 
-// cost returns the cost of a candidate, given the expected size of the answer and the mean failure ratio.
-func (b *Balancer) cost(now time.Time, query Query, c *candidate, answerBytes int64, meanFailures float64) float64 {
-	bytes := float64(query.Bytes + query.DeclaredBytes + answerBytes)
-	latency := c.serviceTime
-	inFlight, limit := c.upstream.projectedLoad(now, 1)
+// cost returns the cost of a candidate, given the expected size of request and answer and the mean
+// failure ratio.
+func (b *Balancer) cost(now moment, query *Query, c *candidate, bytes int64, meanFailures float64) float64 {
+	latency := c.serviceTime + c.transfer
+	inFlight, limit := c.upstream.expectedLoad(now, 1)
 	utilization := inFlight / limit
 	cost := failureCost * max(c.upstream.failureRatio(now)-meanFailures-failureTolerance, 0) / (1 - failureTolerance)
 	if c.upstream.isUnresponsive(now) {
@@ -227,9 +273,9 @@
 	}
 	switch c.tier.distance {
 	case sameRegion:
-		cost += otherZoneCost + bytes/otherZoneBytes
+		cost += otherZoneCost + float64(bytes)/otherZoneBytes
 	case otherRegion:
-		cost += otherRegionCost + bytes/otherRegionBytes
+		cost += otherRegionCost + float64(bytes)/otherRegionBytes
 		latency += regionRoundTrip
 	}
 	cost += utilizationCost * min(utilization, 1) * min(utilization, 1)
@@ -237,7 +283,7 @@
 		cost += queueCost * (utilization - 1)
 	}
 	wait := time.Duration(max(utilization-1, 0) * float64(c.serviceTime))
-	latency += max(wait, time.Duration(c.upstream.slotFreeAt.Load()-monotonicNanos(now)))
+	latency += max(wait, time.Duration(c.upstream.slotFreeAt.Load()-int64(now)))
 	targetShare := latency.Seconds() / query.target().Seconds()
 	cost += latencyCost*targetShare + lateCost*max(targetShare-lateThreshold, 0)
 	cost += c.upstream.penalty(now)
@@ -246,7 +292,7 @@
 
 // isFull reports whether one more request exceeds the known limit of the upstream or would have to
 // wait for a slot.
-func (u *upstream) isFull(now time.Time, slots int) bool {
+func (u *upstream) isFull(now moment, slots int) bool {
 	inFlight, limit := u.projectedLoad(now, slots)
-	return inFlight > limit || u.slotFreeAt.Load() > monotonicNanos(now)
+	return inFlight > limit || u.slotFreeAt.Load() > int64(now)
 }
--- a/core/route/explain.go
+++ b/core/route/explain.go
@@ -127,10 +127,10 @@
 // Explain returns the decision on each member of the service, best first. It does not affect
 // later choices.
 func (b *Balancer) Explain(now time.Time, query Query) []UpstreamStep {
-	b.group(query)
+	b.group(&query)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	state := b.state(query)
+	state := b.state(&query)
 	steps := make([]UpstreamStep, len(query.Members))
 	for i, member := range query.Members {
 		u := state.upstreams[member.Host.Name]
@@ -152,7 +152,7 @@
 func (b *Balancer) explainUpstream(now time.Time, query Query, member core.Member, u *upstream) UpstreamStep {
 	host := member.Host
 	distance := b.distance(host)
-	score, full := u.score(now, query.Service.Slots)
+	score, full := u.score(momentOf(now), query.Service.Slots)
 	step := UpstreamStep{
 		Host:             host.Name,
 		AvailabilityZone: host.AvailabilityZone,
@@ -168,7 +168,7 @@
 	switch {
 	case member.State == core.MemberSuspect:
 		step.Reason, step.rank = ReasonSuspect, 30+distance
-	case u.inBackoff(now):
+	case u.inBackoff(momentOf(now)):
 		step.Reason, step.rank = ReasonInBackoff, 20+distance
 	case full:
 		step.Reason, step.rank = ReasonFull, 10+distance
--- a/core/route/group.go
+++ b/core/route/group.go
@@ -8,7 +8,7 @@
 )
 
 // group returns the cached group of a service, rebuilt if the members or the snapshot changed.
-func (b *Balancer) group(query Query) *group {
+func (b *Balancer) group(query *Query) *group {
 	if state, ok := (*b.services.Load())[query.Service.Name]; ok {
 		if g := state.group.Load(); g != nil && g.matches(query) {
 			return g
@@ -27,7 +27,7 @@
 
 // matches reports whether the group was built for the snapshot and members of the query. It
 // compares by identity, since both are immutable.
-func (g *group) matches(query Query) bool {
+func (g *group) matches(query *Query) bool {
 	return g.snapshot == query.Snapshot && sameSlice(g.members, query.Members)
 }
 
@@ -38,7 +38,7 @@
 // state returns the state of a service, which it adds if there is none; the caller holds mu. The
 // map is copied on write, so that it can be read without a lock; services that the snapshot lacks
 // are left out of the copy.
-func (b *Balancer) state(query Query) *serviceState {
+func (b *Balancer) state(query *Query) *serviceState {
 	known := *b.services.Load()
 	if state, ok := known[query.Service.Name]; ok {
 		return state
@@ -51,6 +51,7 @@
 	}
 	state := &serviceState{
 		upstreams: map[core.HostName]*upstream{},
+		zones:     map[core.AvailabilityZone]*zoneLoad{},
 	}
 	next[query.Service.Name] = state
 	b.services.Store(&next)
@@ -58,7 +59,7 @@
 }
 
 // buildGroup sorts the members that are not dead into tiers.
-func (b *Balancer) buildGroup(state *serviceState, query Query) *group {
+func (b *Balancer) buildGroup(state *serviceState, query *Query) *group {
 	g := &group{
 		members:  query.Members,
 		snapshot: query.Snapshot,
@@ -71,6 +72,7 @@
 			// A replaced host starts without history.
 			u = &upstream{
 				host: member.Host,
+				zone: state.zone(member.Host.AvailabilityZone),
 			}
 		}
 		u.slots.Store(int64(member.Slots))
@@ -88,9 +90,22 @@
 	state.upstreams = kept
 	sortTiers(g.alive)
 	sortTiers(g.suspect)
+	for i := range g.alive {
+		g.alive[i].subset = subset(b.config.Self.Name, g.alive[i])
+	}
 	return g
 }
 
+// zone returns the load of an availability zone. Zones are few, so that none is removed.
+func (s *serviceState) zone(name core.AvailabilityZone) *zoneLoad {
+	known, ok := s.zones[name]
+	if !ok {
+		known = &zoneLoad{}
+		s.zones[name] = known
+	}
+	return known
+}
+
 // exclusionReason returns why a member gets no new requests, "" if it may get them.
 func exclusionReason(member core.Member, snapshot *core.Snapshot) Reason {
 	switch {
--- a/core/route/unresponsive.go
+++ b/core/route/unresponsive.go
@@ -24,11 +24,11 @@
 
 // sent records a request with the latency expected for it and returns its part of u.answerRate. The
 // caller has counted it as outstanding.
-func (u *upstream) sent(now time.Time, expectedLatency time.Duration) (answerRate int64) {
+func (u *upstream) sent(now moment, expectedLatency time.Duration) (answerRate int64) {
 	if u.outstanding.Load() == 1 {
-		u.silentSince.Store(monotonicNanos(now))
+		u.silentSince.Store(int64(now))
 	} else {
-		u.silentSince.CompareAndSwap(0, monotonicNanos(now))
+		u.silentSince.CompareAndSwap(0, int64(now))
 	}
 	answerRate = int64(answerRatePeriod / expectedLatency)
 	u.answerRate.Add(answerRate)
@@ -39,9 +39,9 @@
 const answerRatePeriod = 1000 * time.Second
 
 // recordActivity records that the upstream has answered.
-func (u *upstream) recordActivity(now time.Time) {
+func (u *upstream) recordActivity(now moment) {
 	if u.outstanding.Load() > 0 {
-		u.silentSince.Store(monotonicNanos(now))
+		u.silentSince.Store(int64(now))
 	}
 }
 
@@ -54,21 +54,21 @@
 }
 
 // silence returns the time without an answer while requests were outstanding.
-func (u *upstream) silence(now time.Time) time.Duration {
+func (u *upstream) silence(now moment) time.Duration {
 	if u.outstanding.Load() == 0 {
 		return 0
 	}
 	since := u.silentSince.Load()
 	if since == 0 {
 		// A request is just being sent, or was while the last one before it ended.
-		u.silentSince.CompareAndSwap(0, monotonicNanos(now))
+		u.silentSince.CompareAndSwap(0, int64(now))
 		return 0
 	}
-	return time.Duration(monotonicNanos(now) - since)
+	return time.Duration(int64(now) - since)
 }
 
 // isUnresponsive reports whether too many answers to the outstanding requests are missing.
-func (u *upstream) isUnresponsive(now time.Time) bool {
+func (u *upstream) isUnresponsive(now moment) bool {
 	silence := u.silence(now)
 	if silence < minSilence {
 		return false
@@ -80,18 +80,18 @@
 // IsSuspect reports whether the host of a choice has answered nothing for suspectFactor times the
 // expected latency of the choice.
 func (b *Balancer) IsSuspect(now time.Time, choice Choice) bool {
-	silence := choice.upstream.silence(now)
+	silence := choice.upstream.silence(momentOf(now))
 	return silence >= minSilence && silence.Seconds() > suspectFactor*choice.expectedLatency.Seconds()
 }
 
 // RecordActivity records that the host of a choice has shown that it is responsive.
 func (b *Balancer) RecordActivity(now time.Time, choice Choice) {
-	choice.upstream.recordActivity(now)
+	choice.upstream.recordActivity(momentOf(now))
 }
 
 // RecordUnresponsive puts an unresponsive host into backoff, longer each time until it answers.
 func (b *Balancer) RecordUnresponsive(now time.Time, choice Choice) {
-	choice.upstream.refused(now, unresponsiveBackoff, b.config.Random())
+	choice.upstream.refused(momentOf(now), unresponsiveBackoff, b.config.Random())
 }
 
 // unresponsiveBackoff is short compared to the seconds for which hosts freeze, since only a
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -52,6 +52,8 @@
 // independently; they are hints that need not be consistent with each other.
 type upstream struct {
 	host core.Host
+	// zone is the load of the upstream's availability zone; nil for upstreams that are only explained.
+	zone *zoneLoad
 	// slots is the limit that the upstream itself reports, 0 if it reports none.
 	slots       atomic.Int64
 	outstanding atomic.Int64
@@ -68,6 +70,16 @@
 	failureRatioBits atomic.Uint64
 	// slotFreeAt is when a slot is expected to be free, on the monotonic scale.
 	slotFreeAt atomic.Int64
+	// slownessBits holds the reported slowness as the bits of a float64, 0 if unknown.
+	slownessBits atomic.Uint64
+	// linkRate is the speed of the host's link in bytes per second, 0 if unknown; linkFreeAt is when the
+	// data on it will have left, on the monotonic scale.
+	linkRate   atomic.Int64
+	linkFreeAt atomic.Int64
+	// usualSlownessBits is the mean service time compared with other upstreams, as the bits of a
+	// float64, and usualSlownessAt the time of the latest report of it.
+	usualSlownessBits atomic.Uint64
+	usualSlownessAt   atomic.Int64
 	// silentSince is the time of the latest answer, or of the first request after it if none
 	// was outstanding, in nanoseconds on the monotonic scale. It is 0 while no request is
 	// outstanding: requests that are sent at the same moment must not find an earlier time.
@@ -81,10 +93,11 @@
 }
 
 // report records the load in an answer.
-func (u *upstream) report(now time.Time, inFlight, limit int) {
+func (u *upstream) report(now moment, inFlight, limit int) {
 	others := max(int64(inFlight)-u.outstanding.Load(), 0)
 	u.load.Store(uint64(uint32(others))<<32 | uint64(uint32(limit)))
-	u.loadAt.Store(monotonicNanos(now))
+	u.loadAt.Store(int64(now))
+	u.zone.record(now, float64(others)/float64(max(limit, 1)))
 	u.recordActivity(now)
 }
 
@@ -98,41 +111,41 @@
 
 // refused starts a backoff. Refusals that arrive during one have the same cause and do not
 // extend it.
-func (u *upstream) refused(now time.Time, policy backoff, random uint64) {
+func (u *upstream) refused(now moment, policy backoff, random uint64) {
 	if u.inBackoff(now) {
 		return
 	}
 	wait := min(policy.initial<<min(u.backoffCount.Add(1)-1, 10), policy.max)
 	// Random between half and the whole time, so that entries do not all return at once.
 	wait = wait/2 + time.Duration(random%uint64(wait/2+1))
-	u.backoffUntil.Store(monotonicNanos(now.Add(wait)))
+	u.backoffUntil.Store(int64(now.add(wait)))
 	u.isUnavailable.Store(policy.isUnavailable)
 }
 
 // mayTry reports whether a request may be sent to the upstream. An unavailable one gets no request
 // during backoff and a single probe after it until it has answered, since any other request would
 // wait for a connection that nobody accepts.
-func (u *upstream) mayTry(now time.Time, includeBackoff bool) bool {
+func (u *upstream) mayTry(now moment, includeBackoff bool) bool {
 	if u.isUnavailable.Load() {
 		return !u.inBackoff(now) && u.outstanding.Load() == 0
 	}
 	return includeBackoff || !u.inBackoff(now)
 }
 
-func (u *upstream) inBackoff(now time.Time) bool {
+func (u *upstream) inBackoff(now moment) bool {
 	until := u.backoffUntil.Load()
-	return until != 0 && monotonicNanos(now) < until
+	return until != 0 && int64(now) < until
 }
 
 // projectedLoad returns the requests in flight including one more, and the limit, which is slots if
 // the upstream reports none. The reported load of other entries fades over maxLoadAge.
-func (u *upstream) projectedLoad(now time.Time, slots int) (inFlight, limit float64) {
+func (u *upstream) projectedLoad(now moment, slots int) (inFlight, limit float64) {
 	inFlight = float64(u.outstanding.Load() + 1)
 	if own := int(u.slots.Load()); own > 0 {
 		slots = own
 	}
 	limit = float64(max(slots, 1))
-	age := monotonicNanos(now) - u.loadAt.Load()
+	age := int64(now) - u.loadAt.Load()
 	if age < 0 || age >= int64(maxLoadAge) {
 		return inFlight, limit
 	}
@@ -145,12 +158,12 @@
 }
 
 // penalty returns the addition to load or cost in a backoff, which fades over recoveryTime after it.
-func (u *upstream) penalty(now time.Time) float64 {
+func (u *upstream) penalty(now moment) float64 {
 	until := u.backoffUntil.Load()
 	if until == 0 {
 		return 0
 	}
-	since := monotonicNanos(now) - until
+	since := int64(now) - until
 	if since >= int64(recoveryTime) {
 		return 0
 	}
@@ -159,7 +172,7 @@
 
 // score returns the load relative to the limit plus the penalty; lower is better. full is true if
 // the load alone exceeds the limit.
-func (u *upstream) score(now time.Time, slots int) (score float64, full bool) {
+func (u *upstream) score(now moment, slots int) (score float64, full bool) {
 	inFlight, limit := u.projectedLoad(now, slots)
 	score = inFlight / limit
 	full = score > 1
--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -64,6 +64,13 @@
 	return core.AnswerClass{IsIdentified: id != ""}
 }
 
+func (fakeDialect) UpstreamLoad(answer http.Header) (core.UpstreamLoad, bool) {
+	percent, err := strconv.Atoi(answer.Get("X-Slowness"))
+	return core.UpstreamLoad{
+		Slowness: float64(percent) / 100,
+	}, err == nil
+}
+
 func (fakeDialect) SetRefusalHeaders(header http.Header, refusal core.Refusal) int {
 	header.Set("X-Kind", string(refusal.Kind))
 	if refusal.Kind.Info().NotRun {
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -63,6 +63,8 @@
 	IsConfirmed func() bool
 	// Quotas bounds the requests of each tenant over all daemons. Optional.
 	Quotas core.Quotas
+	// LinkRate is the speed of the host's link in bytes per second, 0 if unknown.
+	LinkRate int64
 }
 
 // Entry receives requests from callers and forwards them to the gatekeeper of an upstream. It
@@ -111,8 +113,9 @@
 	e := &Entry{
 		config: config,
 		balancer: route.NewBalancer(route.BalancerConfig{
-			Self:   config.Self,
-			Random: config.Random,
+			Self:     config.Self,
+			Random:   config.Random,
+			LinkRate: config.LinkRate,
 		}),
 		transport: newTransport(config.Dial),
 		sender:    []string{string(config.Self.Name)},
--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -100,11 +100,14 @@
 
 // recordLoad records the load of an upstream from the value of HeaderLoad.
 func (c *call) recordLoad(text string) {
-	var numbers [5]int
+	var numbers [8]int
 	count := 0
 	for part := range strings.SplitSeq(text, "/") {
+		if count == len(numbers) {
+			break
+		}
 		number, err := strconv.Atoi(part)
-		if err != nil || number < 0 || count == len(numbers) {
+		if err != nil || number < 0 {
 			return
 		}
 		numbers[count] = number
@@ -114,13 +117,16 @@
 	switch count {
 	case 2:
 		balancer.RecordLoad(now, c.choice, numbers[0], numbers[1])
-	case len(numbers):
+	case 5, len(numbers): //nolint:mnd // The forms of HeaderLoad.
 		balancer.RecordLoadReport(now, c.choice, c.route.Spec.Name, route.LoadReport{
 			InFlight:     numbers[0],
 			Limit:        numbers[1],
 			QueueTime:    time.Duration(numbers[2]) * time.Microsecond,
 			ServiceTime:  time.Duration(numbers[3]) * time.Microsecond,
 			FailureRatio: float64(numbers[4]) / permille,
+			Slowness:     float64(numbers[5]) / percent,
+			LinkRate:     int64(numbers[6]),
+			LinkWait:     time.Duration(numbers[7]) * time.Microsecond,
 		})
 	}
 }
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -51,6 +51,8 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Decisions records the decisions on requests. Optional.
 	Decisions core.DecisionLog
+	// LinkRate is the speed of the host's link in bytes per second, 0 if unknown.
+	LinkRate int64
 }
 
 // Gate is the gatekeeper: the last daemon on the path to an upstream. It admits requests to the
@@ -77,6 +79,8 @@
 
 	keys      gateKeys
 	transport gateTransport
+	// link estimates how much of the answers is still on its way through the link of the host.
+	link route.Link
 	// table finds routes in the last snapshot that was used.
 	table atomic.Pointer[route.Table]
 
@@ -111,6 +115,7 @@
 			WatchLatency: config.WatchLatency,
 			IsRegistered: config.Upstream != nil,
 		}),
+		link: route.NewLink(config.LinkRate),
 		idle: make(chan struct{}, 1),
 	}
 	g.refusals.record = g.record
--- a/io/proxy/gate_answer.go
+++ b/io/proxy/gate_answer.go
@@ -27,6 +27,9 @@
 		return kind, detail
 	}
 	c.wroteHeader = true
+	if _, isLocal := c.writer.(*localWriter); !isLocal {
+		c.gate.link.Add(c.gate.config.Clock.Now(), response.ContentLength)
+	}
 	c.writer.WriteHeader(response.StatusCode)
 	var readErr, writeErr error
 	if buffered != nil {
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -361,8 +361,11 @@
 	}
 }
 
-// permille is the unit of the failure ratio in HeaderLoad.
-const permille = 1000
+// The units of the failure ratio and of the slowness in HeaderLoad.
+const (
+	permille = 1000
+	percent  = 100
+)
 
 var arrivedValue = []string{"true"}
 
@@ -403,17 +406,7 @@
 	load = append(load, '/')
 	load = strconv.AppendInt(load, int64(c.limit), 10)
 	if c.gate.config.Upstream != nil && c.snapshot != nil {
-		c.gate.mu.Lock()
-		estimate := c.gate.admission.Estimate(c.gate.config.Clock.Now(), c.admitRequest.Route)
-		c.gate.mu.Unlock()
-		for _, number := range [...]int64{
-			estimate.QueueTime.Microseconds(),
-			estimate.ServiceTime.Microseconds(),
-			int64(estimate.FailureRatio * permille),
-		} {
-			load = append(load, '/')
-			load = strconv.AppendInt(load, number, 10)
-		}
+		load = c.appendEstimate(load)
 	}
 	header[keyLoad] = []string{string(load)}
 	if c.body != nil && !c.body.isAtEnd() {
@@ -427,6 +420,40 @@
 	}
 }
 
+// appendEstimate appends the numbers of HeaderLoad that follow the load.
+func (c *gateCall) appendEstimate(load []byte) []byte {
+	g := c.gate
+	now := g.config.Clock.Now()
+	g.mu.Lock()
+	estimate := g.admission.Estimate(now, c.admitRequest.Route)
+	g.mu.Unlock()
+	numbers := [...]int64{
+		estimate.QueueTime.Microseconds(),
+		estimate.ServiceTime.Microseconds(),
+		int64(estimate.FailureRatio * permille),
+		int64(estimate.Slowness * percent),
+		g.link.Rate(),
+		g.link.Wait(now).Microseconds(),
+	}
+	for _, number := range numbers {
+		load = append(load, '/')
+		load = strconv.AppendInt(load, number, 10)
+	}
+	return load
+}
+
+// recordSlowness passes the slowness that the upstream reports on to admission control.
+func (c *gateCall) recordSlowness(answer http.Header) {
+	g := c.gate
+	load, ok := g.config.Dialect.UpstreamLoad(answer)
+	if !ok || load.Slowness <= 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.RecordSlowness(g.config.Clock.Now(), load.Slowness)
+}
+
 // context returns the context of the request to the upstream. It ends at the deadline and when
 // the caller disconnects. A request with an idempotency key continues without its caller: if an
 // entry dies, the caller retries with the same key and gets the answer, which would be lost
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -77,6 +77,7 @@
 		if kind, detail := c.classifyAnswer(response, trace); kind != "" {
 			return kind, detail
 		}
+		c.recordSlowness(response.Header)
 	}
 	bootID := firstValue(response.Header, keyBootID)
 	if firstValue(response.Header, keyShed) != "" {
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -39,7 +39,9 @@
 	// HeaderLoad in an answer is "inFlight/limit" of the upstream that sent it. Where upstreams
 	// register themselves, "/queueUs/serviceUs/failedPermille" follows: the expected queue time
 	// and service time of a new request of the route, in microseconds, and the failure ratio of
-	// the latest requests.
+	// the latest requests. Newer daemons add "/slownessPercent/linkBytesPerSecond/linkUs": how long
+	// work takes at this moment compared with the service time, the speed of the host's link and the
+	// time that an answer would wait for it. 0 means unknown. Further numbers are ignored.
 	HeaderLoad = "Verbenaway-Load"
 	// HeaderError in an answer is the error kind of a refusal.
 	HeaderError = "Verbenaway-Error"
