--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -61,8 +61,8 @@
 	region    core.Region
 	distance  int
 	upstreams []*upstream
-	// subset holds those of upstreams that this entry uses as long as they have capacity.
-	subset []*upstream
+	// growth is kept while the group is in use.
+	growth *growth
 }
 
 // Query describes one attempt.
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -154,7 +154,7 @@
 }
 
 // candidates returns upstreams to compare for the request: some of the subsets; if these are all full,
-// also others; and all if no upstream is eligible otherwise.
+// also those by which the subsets then grow; and all if no upstream is eligible otherwise.
 func (b *Balancer) candidates(now time.Time, query *Query, g *group, includeBackoff bool, found []candidate) []candidate {
 	at := momentOf(now)
 	var usable [maxTiers]*tier
@@ -171,15 +171,13 @@
 		if t.distance == sameZone {
 			draws = localDraws
 		}
-		found = b.sample(at, query, t, t.subset, draws, includeBackoff, found)
+		found = b.sample(at, query, t, t.subset(at), draws, includeBackoff, found)
 	}
 	if hasFree(at, g, found) {
 		return found
 	}
 	for _, t := range tiers {
-		if len(t.subset) < len(t.upstreams) {
-			found = b.sample(at, query, t, t.upstreams, overflowDraws, includeBackoff, found)
-		}
+		found = b.scan(at, query, t, t.grow(at), includeBackoff, found)
 	}
 	if len(found) > 0 {
 		return found
@@ -190,13 +188,10 @@
 	return found
 }
 
-// maxTiers is the number of tiers for which no memory is allocated.
-const maxTiers = 8
-
 // hasFree reports whether a candidate seems to have a free slot.
 func hasFree(now moment, g *group, candidates []candidate) bool {
 	for i := range candidates {
-		if !candidates[i].upstream.isFull(now, g.slots) {
+		if inFlight, limit := candidates[i].upstream.expectedLoad(now, g.slots); inFlight <= limit {
 			return true
 		}
 	}
--- a/core/route/group.go
+++ b/core/route/group.go
@@ -91,7 +91,8 @@
 	sortTiers(g.alive)
 	sortTiers(g.suspect)
 	for i := range g.alive {
-		g.alive[i].subset = subset(b.config.Self.Name, g.alive[i])
+		g.alive[i].growth = &growth{}
+		rankUpstreams(b.config.Self.Name, &g.alive[i])
 	}
 	return g
 }
--- a/core/route/sample.go
+++ b/core/route/sample.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,29 +16,34 @@
 // subset of each tier, and compares a few of these for a request. Different entries have different
 // subsets and draws, so that those that hear the same report do not all move to the same upstream.
 const (
-	// maxLocalSubset and maxRemoteSubset bound the subset of the local availability zone and of any
-	// other tier.
-	maxLocalSubset  = 16
-	maxRemoteSubset = 8
+	// localSubset and remoteSubset are the sizes of the subset of the local availability zone and of
+	// any other tier.
+	localSubset  = 16
+	remoteSubset = 8
 	// localDraws and remoteDraws are the numbers of upstreams that are compared for a request.
-	localDraws  = 8
+	localDraws  = 4
 	remoteDraws = 2
-	// overflowDraws is the number of upstreams outside the subsets that are compared in addition, by
-	// tier, if all those of the subsets are full.
-	overflowDraws = 2
-	// maxCandidates is the number of candidates for which no memory is allocated.
-	maxCandidates = 32
+	// subsetGrowth is by how many upstreams the subsets of all tiers grow with a request that finds only
+	// full ones. They shrink once no request has done so for subsetGrowthTime.
+	subsetGrowth     = 2
+	subsetGrowthTime = 4 * time.Second
+	// maxCandidates and maxTiers are the numbers of candidates and tiers for which no memory is allocated.
+	maxCandidates = 48
+	maxTiers      = 8
 )
 
-// subset returns the upstreams of a tier that an entry uses as long as they have capacity: those with
-// the highest hash of both names. Few of them change when upstreams come and go.
-func subset(self core.HostName, t tier) []*upstream {
-	size := maxRemoteSubset
-	if t.distance == sameZone {
-		size = maxLocalSubset
-	}
-	if len(t.upstreams) <= size {
-		return t.upstreams
+// growth is how far the subset of a tier has grown because its upstreams were full.
+type growth struct {
+	upstreams atomic.Int64
+	// at is the time of the latest growth on the monotonic scale.
+	at atomic.Int64
+}
+
+// rankUpstreams sorts the upstreams of a tier by the hash of their names together with that of the entry,
+// so that the subset is the beginning of the list. Few of it changes when upstreams come and go.
+func rankUpstreams(self core.HostName, t *tier) {
+	if len(t.upstreams) <= t.subsetSize() {
+		return
 	}
 	type ranked struct {
 		upstream *upstream
@@ -50,13 +57,41 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.upstream.host.Name, b.upstream.host.Name))
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.upstream.host.Name, b.upstream.host.Name))
 	})
-	chosen := make([]*upstream, size)
-	for i := range chosen {
-		chosen[i] = all[i].upstream
+	for i := range all {
+		t.upstreams[i] = all[i].upstream
+	}
+}
+
+func (t *tier) subsetSize() int {
+	if t.distance == sameZone {
+		return localSubset
+	}
+	return remoteSubset
+}
+
+// subset returns the upstreams that are used now.
+func (t *tier) subset(now moment) []*upstream {
+	size := t.subsetSize()
+	if size >= len(t.upstreams) {
+		return t.upstreams
+	}
+	if now-moment(t.growth.at.Load()) < moment(subsetGrowthTime) {
+		size += int(t.growth.upstreams.Load())
+	}
+	return t.upstreams[:min(size, len(t.upstreams))]
+}
+
+// grow adds upstreams to the subset and returns them.
+func (t *tier) grow(now moment) []*upstream {
+	before := len(t.subset(now))
+	after := min(before+subsetGrowth, len(t.upstreams))
+	if after > t.subsetSize() {
+		t.growth.upstreams.Store(int64(after - t.subsetSize()))
+		t.growth.at.Store(int64(now))
 	}
-	return chosen
+	return t.upstreams[before:after]
 }
 
 // sample appends up to count eligible upstreams of a list to the candidates, all of them if the list is
--- a/core/route/sample_test.go
+++ b/core/route/sample_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,7 +90,7 @@
 }
 
 // TestFullSubsetIsLeft guards against requests that are refused because an entry knows only its subset
-// while other upstreams of the zone are free.
+// while the other upstreams of the zone are the only ones that are free.
 func TestFullSubsetIsLeft(t *testing.T) {
 	c := qt.New(t)
 	fixture := newFleetFixture(100, 1)
@@ -99,7 +100,7 @@
 	}
 	counts := fixture.use(1000, func(host core.Host) route.LoadReport {
 		report := usualLoad(host)
-		if full[host.Name] {
+		if full[host.Name] || host.AvailabilityZone != "a1" {
 			report.InFlight = 12
 			report.QueueTime = time.Second
 		}
@@ -107,7 +108,7 @@
 	})
 	toFull := 0
 	for name, count := range counts {
-		if full[name] {
+		if full[name] || !strings.HasPrefix(string(name), "a1") {
 			toFull += count
 		}
 	}
--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -100,7 +100,38 @@
 
 // recordLoad records the load of an upstream from the value of HeaderLoad.
 func (c *call) recordLoad(text string) {
-	var numbers [8]int
+	report, form := parseLoad(text)
+	balancer, now := c.entry.balancer, c.entry.config.Clock.Now()
+	switch form {
+	case loadOnly:
+		balancer.RecordLoad(now, c.choice, report.InFlight, report.Limit)
+	case loadWithEstimate:
+		balancer.RecordLoadReport(now, c.choice, c.route.Spec.Name, report)
+	case loadInvalid:
+	}
+}
+
+// loadForm tells what a value of HeaderLoad holds.
+type loadForm int
+
+const (
+	loadInvalid loadForm = iota
+	// loadOnly is the number of requests in flight and the limit.
+	loadOnly
+	// loadWithEstimate is a whole report, in which numbers that older daemons do not send are 0.
+	loadWithEstimate
+)
+
+// The counts of numbers in the forms of HeaderLoad.
+const (
+	loadNumbers         = 2
+	estimateNumbers     = 5
+	moreEstimateNumbers = 8
+)
+
+// parseLoad parses a value of HeaderLoad.
+func parseLoad(text string) (route.LoadReport, loadForm) {
+	var numbers [moreEstimateNumbers]int
 	count := 0
 	for part := range strings.SplitSeq(text, "/") {
 		if count == len(numbers) {
@@ -108,27 +139,28 @@
 		}
 		number, err := strconv.Atoi(part)
 		if err != nil || number < 0 {
-			return
+			return route.LoadReport{}, loadInvalid
 		}
 		numbers[count] = number
 		count++
 	}
-	balancer, now := c.entry.balancer, c.entry.config.Clock.Now()
+	report := route.LoadReport{
+		InFlight:     numbers[0],
+		Limit:        numbers[1],
+		QueueTime:    time.Duration(numbers[2]) * time.Microsecond,
+		ServiceTime:  time.Duration(numbers[3]) * time.Microsecond,
+		FailureRatio: float64(numbers[4]) / permille,
+		Slowness:     float64(numbers[5]) / percent,
+		LinkRate:     int64(numbers[6]),
+		LinkWait:     time.Duration(numbers[7]) * time.Microsecond,
+	}
 	switch count {
-	case 2:
-		balancer.RecordLoad(now, c.choice, numbers[0], numbers[1])
-	case 5, len(numbers): //nolint:mnd // The forms of HeaderLoad.
-		balancer.RecordLoadReport(now, c.choice, c.route.Spec.Name, route.LoadReport{
-			InFlight:     numbers[0],
-			Limit:        numbers[1],
-			QueueTime:    time.Duration(numbers[2]) * time.Microsecond,
-			ServiceTime:  time.Duration(numbers[3]) * time.Microsecond,
-			FailureRatio: float64(numbers[4]) / permille,
-			Slowness:     float64(numbers[5]) / percent,
-			LinkRate:     int64(numbers[6]),
-			LinkWait:     time.Duration(numbers[7]) * time.Microsecond,
-		})
+	case loadNumbers:
+		return report, loadOnly
+	case estimateNumbers, moreEstimateNumbers:
+		return report, loadWithEstimate
 	}
+	return route.LoadReport{}, loadInvalid
 }
 
 // refusal returns the result that the headers of a refusal report, or false for an answer of the
