proxy: bytes between zones and regions by route, reason for leaving the zone

Operators see what crosses zones and regions in requests and answers, which answer size is expected of a route, and why a request left its zone: `sent` says when an answer was expected there and in the own zone.

--- a/core/route/answersize.go
+++ b/core/route/answersize.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"iter"
 	"sync"
 	"sync/atomic"
 
@@ -69,6 +70,19 @@
 	return b.answers.of(route)
 }
 
+// ExpectedAnswers yields the mean size of the answers of each route that has had one, in bytes.
+func (b *Balancer) ExpectedAnswers() iter.Seq2[core.RouteName, int64] {
+	return func(yield func(core.RouteName, int64) bool) {
+		b.answers.mu.RLock()
+		defer b.answers.mu.RUnlock()
+		for name, mean := range b.answers.routes {
+			if !yield(name, mean.Load()) {
+				return
+			}
+		}
+	}
+}
+
 // ForgetRoutes removes what is known of routes that the snapshot lacks.
 func (b *Balancer) ForgetRoutes(snapshot *core.Snapshot) {
 	b.answers.prune(snapshot)
--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -96,7 +97,25 @@
 	// within which its answer is expected.
 	answerRate      int64
 	expectedLatency time.Duration
-	upstream        *upstream
+	// latency is the expected time to the whole answer, queue time included.
+	latency time.Duration
+	// localLatency is the expected latency of the best upstream of the local availability zone if
+	// ChooseByCost has chosen one of another zone, 0 if there was none.
+	localLatency time.Duration
+	isAway       bool
+	upstream     *upstream
+}
+
+// AwayReason says why an upstream of another availability zone was chosen, "" if none was or if Choose
+// has chosen it.
+func (c Choice) AwayReason() string {
+	switch {
+	case !c.isAway:
+		return ""
+	case c.localLatency == 0:
+		return "no upstream of the own zone is eligible"
+	}
+	return fmt.Sprintf("expected in %s, in the own zone in %s", c.latency.Round(time.Millisecond), c.localLatency.Round(time.Millisecond))
 }
 
 // NewBalancer returns a balancer without state; upstreams are added by the first queries.
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -128,6 +128,8 @@
 	isReported bool
 	// transfer is the time that request and answer take on the links.
 	transfer time.Duration
+	// latency is the time to the whole answer, set by cost.
+	latency time.Duration
 }
 
 // ChooseByCost returns the upstream with the lowest cost for one attempt; ok is false if there
@@ -139,13 +141,18 @@
 	var space [maxCandidates]candidate
 	for _, includeBackoff := range [...]bool{false, true} {
 		candidates := b.candidates(now, &query, g, includeBackoff, space[:0])
-		if best := b.cheapest(at, &query, candidates); best != nil {
+		best, local := b.cheapest(at, &query, candidates)
+		if best != nil {
 			if best.tier.distance == otherRegion {
 				b.budget.charge(now, query.Bytes)
 			}
 			choice = newChoice(best.upstream, best.tier.distance == otherRegion)
 			choice.HasFreeSlot = !best.upstream.isFull(at, g.slots)
 			choice.expectedLatency = max(best.serviceTime+best.transfer, minExpectedLatency)
+			choice.latency, choice.isAway = best.latency, best.tier.distance != sameZone
+			if choice.isAway && local != nil {
+				choice.localLatency = local.latency
+			}
 			choice.answerRate = best.upstream.sent(at, choice.expectedLatency)
 			return choice, true
 		}
@@ -198,13 +205,13 @@
 	return false
 }
 
-// cheapest returns the candidate with the lowest cost, nil if there is none.
-func (b *Balancer) cheapest(now moment, query *Query, candidates []candidate) *candidate {
+// cheapest returns the candidate with the lowest cost, and the one in the local availability zone; nil
+// if there is none.
+func (b *Balancer) cheapest(now moment, query *Query, candidates []candidate) (best, local *candidate) {
 	meanTime := meanServiceTime(query, candidates)
 	meanFailures := meanFailureRatio(now, candidates)
 	bytes := query.Bytes + query.DeclaredBytes + b.answers.of(query.Route)
-	var best *candidate
-	var least float64
+	var least, leastLocal float64
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.isReported {
@@ -218,8 +225,11 @@
 		if best == nil || cost < least {
 			best, least = c, cost
 		}
+		if c.tier.distance == sameZone && (local == nil || cost < leastLocal) {
+			local, leastLocal = c, cost
+		}
 	}
-	return best
+	return best, local
 }
 
 // meanServiceTime returns the mean of the service times that the candidates reported.
@@ -279,6 +289,7 @@
 	}
 	wait := time.Duration(max(utilization-1, 0) * float64(c.serviceTime))
 	latency += max(wait, time.Duration(c.upstream.slotFreeAt.Load()-int64(now)))
+	c.latency = latency
 	targetShare := latency.Seconds() / query.target().Seconds()
 	cost += latencyCost*targetShare + lateCost*max(targetShare-lateThreshold, 0)
 	cost += c.upstream.penalty(now)
--- a/io/daemon/metrics.go
+++ b/io/daemon/metrics.go
@@ -26,6 +26,8 @@
 		{Name: "entryAnswers", Meaning: "Complete answers given to callers.", Value: &entry.Answers},
 		{Name: "entryAborted", Meaning: "Answers that were aborted.", Value: &entry.Aborted},
 		{Name: "entryOtherRegionBytes", Meaning: "Bytes of requests sent to other regions.", Value: &entry.OtherRegionBytes},
+		{Name: "entryOtherZoneTraffic", Meaning: "Bytes of requests and answers exchanged with other availability zones of the region, by route.", Value: entry.OtherZoneTraffic},
+		{Name: "entryOtherRegionTraffic", Meaning: "Bytes of requests and answers exchanged with other regions, by route.", Value: entry.OtherRegionTraffic},
 		{Name: "entryRefusals", Meaning: "Refusals to callers by error kind.", Value: entry.Refusals},
 		{Name: "entryProbes", Meaning: "Probes of hosts that seemed unresponsive.", Value: &entry.Probes},
 		{Name: "gateRequests", Meaning: "Requests that reached the gatekeeper.", Value: &gate.Requests},
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"iter"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -122,6 +123,8 @@
 		idle:      make(chan struct{}, 1),
 	}
 	e.Counters.Refusals = new(expvar.Map).Init()
+	e.Counters.OtherZoneTraffic = new(expvar.Map).Init()
+	e.Counters.OtherRegionTraffic = new(expvar.Map).Init()
 	e.refusals = newRefusalLog(&e.config, &e.Counters)
 	return e
 }
@@ -227,6 +230,11 @@
 	c.run()
 }
 
+// ExpectedAnswerBytes yields the mean size of the answers of each route that has had one.
+func (e *Entry) ExpectedAnswerBytes() iter.Seq2[core.RouteName, int64] {
+	return e.balancer.ExpectedAnswers()
+}
+
 func (e *Entry) endRequest() {
 	if e.inFlight.Add(-1) == 0 && e.draining.Load() {
 		select {
--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -77,9 +77,22 @@
 	if c.reply.status < http.StatusMultipleChoices {
 		c.entry.balancer.RecordAnswerBytes(c.route.Spec.Name, c.reply.bytes)
 	}
+	c.countTraffic(c.reply.bytes)
 	c.logAnswer("", c.reply.status, "")
 }
 
+// countTraffic counts bytes that are exchanged with the chosen upstream if it is in another availability
+// zone or region.
+func (c *call) countTraffic(bytes int64) {
+	self, counters := &c.entry.config.Self, &c.entry.Counters
+	switch {
+	case c.choice.OtherRegion:
+		counters.OtherRegionTraffic.Add(string(c.route.Spec.Name), bytes)
+	case c.choice.Host.AvailabilityZone != self.AvailabilityZone:
+		counters.OtherZoneTraffic.Add(string(c.route.Spec.Name), bytes)
+	}
+}
+
 // end removes the write deadline, which would otherwise apply to the next answer on the
 // connection.
 func (r *reply) end() {
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -246,7 +246,9 @@
 	defer balancer.Release(c.choice)
 	c.tried = append(c.tried, c.choice.Host.Name)
 	c.setAttemptHeaders()
-	c.logDecision(core.DecisionSent, result{})
+	c.logDecision(core.DecisionSent, result{
+		detail: c.choice.AwayReason(),
+	})
 	c.header[keyTimeout] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
 	c.entry.Counters.Attempts.Add(1)
 	r := c.send()
@@ -367,6 +369,7 @@
 	if c.choice.OtherRegion {
 		c.entry.Counters.OtherRegionBytes.Add(query.Bytes)
 	}
+	c.countTraffic(query.Bytes + query.DeclaredBytes)
 }
 
 // timeLeft returns the time until the deadline.
--- a/io/proxy/entry_count.go
+++ b/io/proxy/entry_count.go
@@ -27,6 +27,10 @@
 	Probes expvar.Int
 	// OtherRegionBytes counts the request bytes that were sent to other regions.
 	OtherRegionBytes expvar.Int
+	// OtherZoneTraffic and OtherRegionTraffic count the bytes of requests and answers, by route, that
+	// went to or came from another availability zone of the region or another region.
+	OtherZoneTraffic   *expvar.Map
+	OtherRegionTraffic *expvar.Map
 	// Refusals counts refusals by kind.
 	Refusals *expvar.Map
 }
