--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -175,7 +175,7 @@
 			continue
 		}
 		u := b.pickOfTwo(now, query, g, t, round)
-		if u != nil && b.budget.take(now, b.crossRegionRate(query), query.Bytes, query.DeclaredBytes) {
+		if u != nil && b.budget.take(now, b.crossRegionRate(&query), query.Bytes, query.DeclaredBytes) {
 			return newChoice(u, true), true
 		}
 	}
@@ -273,7 +273,7 @@
 }
 
 // crossRegionRate returns the cross-region budget of the local region in bytes per second.
-func (b *Balancer) crossRegionRate(query Query) int64 {
+func (b *Balancer) crossRegionRate(query *Query) int64 {
 	return query.Snapshot.Regions[b.config.Self.Region].CrossRegionBytesPerSecond
 }
 
@@ -289,7 +289,7 @@
 					continue
 				}
 				other := t.distance == otherRegion
-				if !query.HomeRegions.Allows(t.region) || other && !b.budget.take(now, b.crossRegionRate(query), query.Bytes, query.DeclaredBytes) {
+				if !query.HomeRegions.Allows(t.region) || other && !b.budget.take(now, b.crossRegionRate(&query), query.Bytes, query.DeclaredBytes) {
 					return Choice{}, false
 				}
 				return newChoice(u, other), true
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"maps"
 	"math"
+	"sync/atomic"
 	"time"
 
 	"verbenaway/core"
@@ -54,8 +56,8 @@
 // serviceTime is how long a request of a route occupies a slot of an upstream, with the time of
 // the report on the monotonic scale.
 type serviceTime struct {
-	duration   time.Duration
-	reportedAt int64
+	duration   atomic.Int64
+	reportedAt atomic.Int64
 }
 
 // LoadReport is what the gatekeeper of an upstream reports with each answer.
@@ -89,26 +91,42 @@
 		return
 	}
 	u.recordUsualSlowness(at, b.serviceTimes.add(route, report.ServiceTime))
+	known := u.serviceTimeFor(route)
+	known.duration.Store(int64(report.ServiceTime))
+	known.reportedAt.Store(int64(at))
+}
+
+// serviceTimeFor returns the service time of a route, which it adds if there is none. The map is copied
+// on write, so that it can be read without a lock.
+func (u *upstream) serviceTimeFor(route core.RouteName) *serviceTime {
+	if times := u.serviceTimes.Load(); times != nil && (*times)[route] != nil {
+		return (*times)[route]
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.serviceTimes == nil {
-		u.serviceTimes = map[core.RouteName]serviceTime{}
-	}
-	u.serviceTimes[route] = serviceTime{
-		duration:   report.ServiceTime,
-		reportedAt: int64(at),
+	next := map[core.RouteName]*serviceTime{}
+	if times := u.serviceTimes.Load(); times != nil {
+		if known := (*times)[route]; known != nil {
+			return known
+		}
+		maps.Copy(next, *times)
 	}
+	next[route] = &serviceTime{}
+	u.serviceTimes.Store(&next)
+	return next[route]
 }
 
 // serviceTimeOf returns the service time of a route; ok is false without a recent report.
 func (u *upstream) serviceTimeOf(now moment, route core.RouteName) (time.Duration, bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	known, ok := u.serviceTimes[route]
-	if !ok || int64(now)-known.reportedAt > int64(maxReportAge) {
+	times := u.serviceTimes.Load()
+	if times == nil {
+		return 0, false
+	}
+	known := (*times)[route]
+	if known == nil || int64(now)-known.reportedAt.Load() > int64(maxReportAge) {
 		return 0, false
 	}
-	return known.duration, true
+	return time.Duration(known.duration.Load()), true
 }
 
 // failureRatio returns the share of recent requests that failed, 0 without a recent report.
@@ -166,9 +184,17 @@
 	at := momentOf(now)
 	var usable [maxTiers]*tier
 	tiers := usable[:0]
+	var isBudgetKnown, hasBudget bool
 	for i := range g.alive {
 		t := &g.alive[i]
-		if !query.HomeRegions.Allows(t.region) || t.distance == otherRegion && !b.budget.canTake(now, b.crossRegionRate(*query), query.Bytes+query.DeclaredBytes) {
+		if !query.HomeRegions.Allows(t.region) {
+			continue
+		}
+		if t.distance == otherRegion && !isBudgetKnown {
+			isBudgetKnown = true
+			hasBudget = b.budget.canTake(now, b.crossRegionRate(query), query.Bytes+query.DeclaredBytes)
+		}
+		if t.distance == otherRegion && !hasBudget {
 			continue
 		}
 		tiers = append(tiers, t)
--- a/core/route/explain.go
+++ b/core/route/explain.go
@@ -187,7 +187,7 @@
 	if !query.HomeRegions.Allows(member.Host.Region) {
 		return ReasonOutsideHomeRegions
 	}
-	if b.distance(member.Host) == otherRegion && !b.budget.canTake(now, b.crossRegionRate(query), query.Bytes+query.DeclaredBytes) {
+	if b.distance(member.Host) == otherRegion && !b.budget.canTake(now, b.crossRegionRate(&query), query.Bytes+query.DeclaredBytes) {
 		return ReasonNoBudget
 	}
 	return ""
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -87,9 +87,9 @@
 	// answerRate is the number of answers to the outstanding requests that are expected within
 	// answerRatePeriod.
 	answerRate atomic.Int64
-	// mu guards serviceTimes.
+	// mu guards writes to serviceTimes.
 	mu           sync.Mutex
-	serviceTimes map[core.RouteName]serviceTime
+	serviceTimes atomic.Pointer[map[core.RouteName]*serviceTime]
 }
 
 // report records the load in an answer.
