proxy: a slot is free as soon as the upstream has answered

Cause: the gatekeeper held the slot of a request until its answer had been written, and streamed answers of more than 64 KB, so that a download of 90 KB kept a slot, and the upstream's connection, for the 45 ms or more that a link of 16 Mbit/s takes. Change: answers of up to 256 KB are read completely first, within 8 MB, and the slot is freed before the answer is sent.

--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -84,8 +84,10 @@
 	// table finds routes in the last snapshot that was used.
 	table atomic.Pointer[route.Table]
 
-	active   atomic.Int64
-	draining atomic.Bool
+	// heldBytes is the memory of the answers that are held by holdAnswer.
+	heldBytes atomic.Int64
+	active    atomic.Int64
+	draining  atomic.Bool
 	// delegate sends claimed requests to another upstream; nil if there is none.
 	delegate  http.HandlerFunc
 	idle      chan struct{}
--- a/io/proxy/gate_answer.go
+++ b/io/proxy/gate_answer.go
@@ -18,14 +18,16 @@
 	if c.recorder != nil {
 		c.recorder.start(response.StatusCode, gateCopyHeader(http.Header{}, response.Header, gateNotForCaller))
 	}
-	var pool *bufferPool
-	if c.gate.config.Dialect != nil {
-		pool = wholeAnswerPool(c.request.Method, response)
-	}
+	pool, held := c.gate.holdAnswer(c.request.Method, response)
+	defer c.gate.heldBytes.Add(-held)
 	buffered, kind, detail := c.bufferAnswer(pool, response)
 	if kind != "" {
 		return kind, detail
 	}
+	if buffered != nil {
+		// The upstream is done, however long the answer takes on the link.
+		c.finish(true)
+	}
 	c.wroteHeader = true
 	if _, isLocal := c.writer.(*localWriter); !isLocal {
 		c.gate.link.Add(c.gate.config.Clock.Now(), response.ContentLength)
@@ -59,6 +61,30 @@
 	return c.lostAnswerKind(true), "the answer broke off: " + readErr.Error()
 }
 
+// maxHeldBytes bounds the memory for answers of more than maxBufferedBytes that are read completely
+// before any of them is sent. Further ones are streamed.
+const maxHeldBytes = 8 << 20
+
+// holdAnswer returns the pool for an answer that is read completely, so that its upstream can run the next
+// request while a slow link takes it; nil if it is streamed. held is to be subtracted from heldBytes at
+// the end.
+func (g *Gate) holdAnswer(method string, response *http.Response) (pool *bufferPool, held int64) {
+	if g.config.Dialect == nil {
+		return nil, 0
+	}
+	if pool = wholeAnswerPool(method, response); pool != nil {
+		return pool, 0
+	}
+	if method == http.MethodHead || response.ContentLength <= maxBufferedBytes || response.ContentLength > bulkBytes {
+		return nil, 0
+	}
+	if g.heldBytes.Add(bulkBytes) > maxHeldBytes {
+		g.heldBytes.Add(-bulkBytes)
+		return nil, 0
+	}
+	return bulkBuffers, bulkBytes
+}
+
 // bufferAnswer reads an answer of moderate size completely before any of it is sent, so that a
 // truncated one becomes a refusal, after which the entry can use another upstream. It returns nil
 // for answers that are streamed.
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -55,6 +55,8 @@
 	recorder       *gateRecorder
 	isKeyCompleted bool
 	outcome        gateOutcome
+	// isFinished means that the slot was freed.
+	isFinished bool
 	// wroteHeader means that the header of the answer was sent, so that a refusal is no longer
 	// possible.
 	wroteHeader bool
@@ -153,7 +155,7 @@
 	}
 	success := false
 	defer func() {
-		c.gate.finish(&c.ticket, success)
+		c.finish(success)
 	}()
 	kind, detail = c.forward()
 	success = kind == ""
@@ -288,6 +290,14 @@
 	}
 }
 
+// finish frees the slot of the call unless that has been done.
+func (c *gateCall) finish(success bool) {
+	if !c.isFinished {
+		c.isFinished = true
+		c.gate.finish(&c.ticket, success)
+	}
+}
+
 // finish frees the slot of a call.
 func (g *Gate) finish(ticket *admit.Ticket, success bool) {
 	snapshot, _ := g.config.Config.Snapshot()
