route: other regions are compared only if the own one is dear

Change: 6 are compared; each tier grows its own subset; upstreams of other regions, none of which costs less than otherRegionCost, are left out while a near one does. The usual slowness averages the first reports.

--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -52,6 +52,8 @@
 	// local region and one for each other region. Empty tiers are left out.
 	alive   []tier
 	suspect []tier
+	// nearTiers is the number of tiers of alive in the local region, which are the first.
+	nearTiers int
 	// excluded holds members that are leaving or in an availability zone taken out. They get
 	// no new requests but still own idempotency keys.
 	excluded []tier
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -139,15 +139,20 @@
 
 // candidate is an upstream that is eligible for the request.
 type candidate struct {
-	tier        *tier
-	upstream    *upstream
+	tier     *tier
+	upstream *upstream
+	// reportedTime is the service time that was reported, if isReported is true.
+	reportedTime time.Duration
+	isReported   bool
+	// failureRatio is the share of recent requests that failed, 0 if unknown.
+	failureRatio float64
+
+	// Set by cheapest: serviceTime is the expected one, transfer the time that request and answer take on
+	// the links, latency the time to the whole answer.
 	serviceTime time.Duration
-	// isReported is false if serviceTime is an estimate.
-	isReported bool
-	// transfer is the time that request and answer take on the links.
-	transfer time.Duration
-	// latency is the time to the whole answer, set by cost.
-	latency time.Duration
+	transfer    time.Duration
+	latency     time.Duration
+	cost        float64
 }
 
 // ChooseByCost returns the upstream with the lowest cost for one attempt; ok is false if there
@@ -158,73 +163,75 @@
 	at := momentOf(now)
 	var space [maxCandidates]candidate
 	for _, includeBackoff := range [...]bool{false, true} {
-		candidates := b.candidates(now, &query, g, includeBackoff, space[:0])
+		candidates := b.candidates(at, &query, g.near(), includeBackoff, space[:0])
 		best, local := b.cheapest(at, &query, candidates)
-		if best != nil {
-			if best.tier.distance == otherRegion {
-				b.budget.charge(now, query.Bytes)
-			}
-			choice = newChoice(best.upstream, best.tier.distance == otherRegion)
-			choice.HasFreeSlot = !best.upstream.isFull(at, g.slots)
-			choice.expectedLatency = max(best.serviceTime+best.transfer, minExpectedLatency)
-			choice.latency, choice.isAway = best.latency, best.tier.distance != sameZone
-			if choice.isAway && local != nil {
-				choice.localLatency = local.latency
-			}
-			choice.answerRate = best.upstream.sent(at, choice.expectedLatency)
-			return choice, true
+		if (best == nil || best.cost >= otherRegionCost) && b.mayLeaveRegion(now, &query, g) {
+			// No upstream of another region costs less than otherRegionCost.
+			candidates = b.candidates(at, &query, g.far(), includeBackoff, candidates)
+			best, local = b.cheapest(at, &query, candidates)
+		}
+		if best == nil {
+			continue
 		}
+		if best.tier.distance == otherRegion {
+			b.budget.charge(now, query.Bytes)
+		}
+		choice = newChoice(best.upstream, best.tier.distance == otherRegion)
+		choice.HasFreeSlot = !best.upstream.isFull(at, g.slots)
+		choice.expectedLatency = max(best.serviceTime+best.transfer, minExpectedLatency)
+		choice.latency, choice.isAway = best.latency, best.tier.distance != sameZone
+		if choice.isAway && local != nil {
+			choice.localLatency = local.latency
+		}
+		choice.answerRate = best.upstream.sent(at, choice.expectedLatency)
+		return choice, true
 	}
 	return Choice{}, false
 }
 
-// candidates returns upstreams to compare for the request: some of the subsets; if these are all full,
-// also those by which the subsets then grow; and all if no upstream is eligible otherwise.
-func (b *Balancer) candidates(now time.Time, query *Query, g *group, includeBackoff bool, found []candidate) []candidate {
-	at := momentOf(now)
-	var usable [maxTiers]*tier
-	tiers := usable[:0]
-	var isBudgetKnown, hasBudget bool
-	for i := range g.alive {
-		t := &g.alive[i]
+// near returns the tiers of the local region, far those of other regions.
+func (g *group) near() []tier {
+	return g.alive[:g.nearTiers]
+}
+
+func (g *group) far() []tier {
+	return g.alive[g.nearTiers:]
+}
+
+// mayLeaveRegion reports whether there are upstreams in other regions and the budget for a request to one.
+func (b *Balancer) mayLeaveRegion(now time.Time, query *Query, g *group) bool {
+	return g.nearTiers < len(g.alive) && b.budget.canTake(now, b.crossRegionRate(query), query.Bytes+query.DeclaredBytes)
+}
+
+// candidates appends upstreams of the tiers to compare for the request: for each tier some of the subset;
+// if these are all full, also those by which the subset then grows; and all if none of the tier is
+// eligible otherwise.
+func (b *Balancer) candidates(now moment, query *Query, tiers []tier, includeBackoff bool, found []candidate) []candidate {
+	for i := range tiers {
+		t := &tiers[i]
 		if !query.HomeRegions.Allows(t.region) {
 			continue
 		}
-		if t.distance == otherRegion && !isBudgetKnown {
-			isBudgetKnown = true
-			hasBudget = b.budget.canTake(now, b.crossRegionRate(query), query.Bytes+query.DeclaredBytes)
-		}
-		if t.distance == otherRegion && !hasBudget {
-			continue
-		}
-		tiers = append(tiers, t)
-	}
-	for _, t := range tiers {
 		draws := remoteDraws
 		if t.distance == sameZone {
 			draws = localDraws
 		}
-		found = b.sample(at, query, t, t.subset(at), draws, includeBackoff, found)
-	}
-	if hasFree(at, g, found) {
-		return found
-	}
-	for _, t := range tiers {
-		found = b.scan(at, query, t, t.grow(at), includeBackoff, found)
-	}
-	if len(found) > 0 {
-		return found
-	}
-	for _, t := range tiers {
-		found = b.scan(at, query, t, t.upstreams, includeBackoff, found)
+		first := len(found)
+		found = b.sample(now, query, t, t.subset(now), draws, includeBackoff, found)
+		if !hasFree(now, query, found[first:]) {
+			found = b.scan(now, query, t, t.grow(now), includeBackoff, found)
+		}
+		if len(found) == first {
+			found = b.scan(now, query, t, t.upstreams, includeBackoff, found)
+		}
 	}
 	return found
 }
 
 // hasFree reports whether a candidate seems to have a free slot.
-func hasFree(now moment, g *group, candidates []candidate) bool {
+func hasFree(now moment, query *Query, candidates []candidate) bool {
 	for i := range candidates {
-		if inFlight, limit := candidates[i].upstream.expectedLoad(now, g.slots); inFlight <= limit {
+		if inFlight, limit := candidates[i].upstream.expectedLoad(now, query.Service.Slots); inFlight <= limit {
 			return true
 		}
 	}
@@ -235,11 +242,11 @@
 // if there is none.
 func (b *Balancer) cheapest(now moment, query *Query, candidates []candidate) (best, local *candidate) {
 	meanTime := meanServiceTime(query, candidates)
-	meanFailures := meanFailureRatio(now, candidates)
+	meanFailures := meanFailureRatio(candidates)
 	bytes := query.Bytes + query.DeclaredBytes + b.answers.of(query.Route)
-	var least, leastLocal float64
 	for i := range candidates {
 		c := &candidates[i]
+		c.serviceTime = c.reportedTime
 		if !c.isReported {
 			c.serviceTime = time.Duration(float64(meanTime) * c.upstream.usualSlowness(now))
 		}
@@ -247,12 +254,12 @@
 		if c.upstream.host.Name != b.config.Self.Name {
 			c.transfer = c.upstream.transferTime(now, bytes, b.config.LinkRate)
 		}
-		cost := b.cost(now, query, c, bytes, meanFailures)
-		if best == nil || cost < least {
-			best, least = c, cost
+		c.cost = b.cost(now, query, c, bytes, meanFailures)
+		if best == nil || c.cost < best.cost {
+			best = c
 		}
-		if c.tier.distance == sameZone && (local == nil || cost < leastLocal) {
-			local, leastLocal = c, cost
+		if c.tier.distance == sameZone && (local == nil || c.cost < local.cost) {
+			local = c
 		}
 	}
 	return best, local
@@ -262,9 +269,9 @@
 func meanServiceTime(query *Query, candidates []candidate) time.Duration {
 	var sum time.Duration
 	reported := 0
-	for _, c := range candidates {
-		if c.isReported {
-			sum += c.serviceTime
+	for i := range candidates {
+		if c := &candidates[i]; c.isReported {
+			sum += c.reportedTime
 			reported++
 		}
 	}
@@ -277,10 +284,10 @@
 // meanFailureRatio returns the mean failure ratio. Failures that all upstreams share, such as
 // those of a service that each of them calls, are no reason to leave the local availability zone
 // or region.
-func meanFailureRatio(now moment, candidates []candidate) float64 {
+func meanFailureRatio(candidates []candidate) float64 {
 	sum := 0.0
-	for _, c := range candidates {
-		sum += c.upstream.failureRatio(now)
+	for i := range candidates {
+		sum += candidates[i].failureRatio
 	}
 	return sum / float64(len(candidates))
 }
@@ -298,7 +305,7 @@
 	latency := c.serviceTime + c.transfer
 	inFlight, limit := c.upstream.expectedLoad(now, 1)
 	utilization := inFlight / limit
-	cost := failureCost * max(c.upstream.failureRatio(now)-meanFailures-failureTolerance, 0) / (1 - failureTolerance)
+	cost := failureCost * max(c.failureRatio-meanFailures-failureTolerance, 0) / (1 - failureTolerance)
 	if c.upstream.isUnresponsive(now) {
 		cost += unresponsiveCost
 	}
--- a/core/route/group.go
+++ b/core/route/group.go
@@ -93,6 +93,9 @@
 	for i := range g.alive {
 		g.alive[i].growth = &growth{}
 		rankUpstreams(b.config.Self.Name, &g.alive[i])
+		if g.alive[i].distance != otherRegion {
+			g.nearTiers++
+		}
 	}
 	return g
 }
--- a/core/route/sample.go
+++ b/core/route/sample.go
@@ -21,15 +21,14 @@
 	localSubset  = 16
 	remoteSubset = 8
 	// localDraws and remoteDraws are the numbers of upstreams that are compared for a request.
-	localDraws  = 4
+	localDraws  = 6
 	remoteDraws = 2
-	// subsetGrowth is by how many upstreams the subsets of all tiers grow with a request that finds only
-	// full ones. They shrink once no request has done so for subsetGrowthTime.
+	// subsetGrowth is by how many upstreams the subset of a tier grows with a request that finds only full
+	// ones there. It shrinks once no request has done so for subsetGrowthTime.
 	subsetGrowth     = 2
 	subsetGrowthTime = 4 * time.Second
-	// maxCandidates and maxTiers are the numbers of candidates and tiers for which no memory is allocated.
+	// maxCandidates is the number of candidates for which no memory is allocated.
 	maxCandidates = 48
-	maxTiers      = 8
 )
 
 // growth is how far the subset of a tier has grown because its upstreams were full.
@@ -121,10 +120,11 @@
 			continue
 		}
 		c := candidate{
-			tier:     t,
-			upstream: u,
+			tier:         t,
+			upstream:     u,
+			failureRatio: u.failureRatio(now),
 		}
-		c.serviceTime, c.isReported = u.serviceTimeOf(now, query.Route)
+		c.reportedTime, c.isReported = u.serviceTimeOf(now, query.Route)
 		found = append(found, c)
 	}
 	return found
--- a/core/route/speed.go
+++ b/core/route/speed.go
@@ -10,7 +10,7 @@
 
 const (
 	// routeTimeWeight and usualSlownessWeight are the weights of the latest report in the moving averages.
-	routeTimeWeight     = 0.05
+	routeTimeWeight     = 0.05 // Its inverse is a whole number.
 	usualSlownessWeight = 0.1
 	// maxUsualSlownessAge is the age at which the usual slowness of an upstream no longer counts. Hosts
 	// differ for good, but an upstream that was in trouble has to get requests again.
@@ -23,23 +23,28 @@
 // are safe for concurrent use.
 type routeTimes struct {
 	mu     sync.Mutex
-	routes map[core.RouteName]time.Duration
+	routes map[core.RouteName]routeTime
 }
 
-// add adds a report and returns how it compares with the mean before it.
+type routeTime struct {
+	mean time.Duration
+	// reports is the number of reports in the mean, at most 1/routeTimeWeight.
+	reports int
+}
+
+// add adds a report, which is above 0, and returns how it compares with the mean.
 func (r *routeTimes) add(route core.RouteName, reported time.Duration) (slowness float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.routes == nil {
-		r.routes = map[core.RouteName]time.Duration{}
-	}
-	mean, ok := r.routes[route]
-	if !ok {
-		r.routes[route] = reported
-		return 1
+		r.routes = map[core.RouteName]routeTime{}
 	}
-	r.routes[route] = mean + time.Duration(routeTimeWeight*float64(reported-mean))
-	return reported.Seconds() / mean.Seconds()
+	known := r.routes[route]
+	// The first reports are averaged: the very first one may come from the slowest upstream.
+	known.reports = min(known.reports+1, 1/routeTimeWeight)
+	known.mean += (reported - known.mean) / time.Duration(known.reports)
+	r.routes[route] = known
+	return reported.Seconds() / known.mean.Seconds()
 }
 
 // prune removes routes that the snapshot lacks.
@@ -57,7 +62,9 @@
 func (u *upstream) recordUsualSlowness(now moment, slowness float64) {
 	slowness = min(max(slowness, 1/maxSlowness), maxSlowness)
 	usual := u.usualSlowness(now)
-	u.usualSlownessBits.Store(math.Float64bits(usual + usualSlownessWeight*(slowness-usual)))
+	// The first reports are averaged with the assumption that the upstream is like the others.
+	weight := max(usualSlownessWeight, 1/float64(u.slownessReports.Add(1)+1))
+	u.usualSlownessBits.Store(math.Float64bits(usual + weight*(slowness-usual)))
 	u.usualSlownessAt.Store(int64(now))
 }
 
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -77,9 +77,10 @@
 	linkRate   atomic.Int64
 	linkFreeAt atomic.Int64
 	// usualSlownessBits is the mean service time compared with other upstreams, as the bits of a
-	// float64, and usualSlownessAt the time of the latest report of it.
+	// float64, usualSlownessAt the time of the latest report of it, and slownessReports their number.
 	usualSlownessBits atomic.Uint64
 	usualSlownessAt   atomic.Int64
+	slownessReports   atomic.Int64
 	// silentSince is the time of the latest answer, or of the first request after it if none
 	// was outstanding, in nanoseconds on the monotonic scale. It is 0 while no request is
 	// outstanding: requests that are sent at the same moment must not find an earlier time.
