--- a/core/admit/room_test.go
+++ b/core/admit/room_test.go
@@ -107,9 +107,8 @@
 	c.Assert(rig.late["check"]*100 < rig.count("check"), qt.IsTrue, qt.Commentf("%d late of %d", rig.late["check"], rig.count("check")))
 }
 
-// TestTenantPriorityWithTargets guards against a tenant whose priority does not count among requests
-// with latency targets.
-func TestTenantPriorityWithTargets(t *testing.T) {
+// TestTenantBeforeTarget guards against a tenant whose priority counts less than the targets of others.
+func TestTenantBeforeTarget(t *testing.T) {
 	c := qt.New(t)
 	rig := newLoadRig(0)
 	snapshot := &core.Snapshot{
