--- a/core/tenant.go
+++ b/core/tenant.go
@@ -44,9 +44,11 @@
 // Quotas decides whether requests are within the quota of their tenant, which holds over all
 // daemons together. It is safe for concurrent use.
 type Quotas interface {
-	// Take counts a request towards the quota of a tenant, unless it is beyond it.
+	// Take counts a request towards the quota of a tenant, unless it is beyond it. It may wait for
+	// other daemons, for a few hundred milliseconds at most.
 	Take(now time.Time, tenant TenantName) QuotaDecision
-	// Return gives back what Take counted for a request that no upstream has received.
+	// Return tells that no upstream has received a request that Take counted. An implementation need
+	// not count it less.
 	Return(now time.Time, tenant TenantName)
 }
 
