--- a/core/route/uneven_test.go
+++ b/core/route/uneven_test.go
@@ -40,7 +40,7 @@
 			moved++
 		}
 	}
-	// Each entry compares a third of the zone.
+	// Each entry compares half of the zone.
 	qt.Assert(t, moved > entries/10 && moved < entries*6/10, qt.IsTrue, qt.Commentf("%d of %d moved", moved, entries))
 }
 
