proxy, runtests: a read deadline wakes a reader only if nobody else will

Cause: each answered request woke the read that waits for the next one.

Change: only where a reader waits for the end of an answer. The crowd tests get 600 s in make test, since they took 244 s beside a load average of 38.

--- a/io/proxy/early_conn.go
+++ b/io/proxy/early_conn.go
@@ -134,7 +134,9 @@
 	if errors.Is(c.err, os.ErrDeadlineExceeded) && !c.isDeadlinePast() {
 		c.err = nil
 	}
-	c.changed.Broadcast()
+	if c.isReadWaiting && !c.isReadingAhead {
+		c.changed.Broadcast()
+	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
--- a/tools/runtests/main.go
+++ b/tools/runtests/main.go
@@ -25,6 +25,10 @@
 // built without the race detector, which the clients do not need either.
 const crowdPackage = "verbenaway/platform/crowd"
 
+// testTimeout bounds the tests of a package. Those of crowdPackage take two seconds each, one after the
+// other, and the start of a process.
+const testTimeout = "600s"
+
 // virtualTimePackage limits itself to one CPU under the race detector. It is also run without the
 // detector, on all CPUs.
 const virtualTimePackage = "verbenaway/io/agent"
@@ -82,7 +86,7 @@
 
 // runPackages runs the tests of some packages and adds the results to outcome.
 func runPackages(outcome *result, knownFailures map[string]bool, run testRun) error {
-	args := []string{"test", "-json", "-timeout", "300s"}
+	args := []string{"test", "-json", "-timeout", testTimeout}
 	if run.detectRace {
 		args = append(args, "-race")
 	}
