--- a/io/limit/conn.go
+++ b/io/limit/conn.go
@@ -379,6 +379,14 @@
 	}
 }
 
+// HasPeerClosed reports whether the peer of the connection from which the request of a context came has
+// closed it. Unlike the end of the context, which the server sets a while later, it holds as soon as the
+// close has arrived: on a busy host, request and close may both have waited for their turn.
+func HasPeerClosed(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*Conn)
+	return ok && c.raw != nil && isClosedByPeer(c.raw)
+}
+
 const (
 	// largeBodyBytes is the length from which bodies pass through large buffers.
 	largeBodyBytes = 64 << 10
--- a/io/limit/socket.go
+++ b/io/limit/socket.go
@@ -24,3 +24,14 @@
 		return next(network, address, conn)
 	}
 }
+
+// isClosedByPeer looks for the end of the stream behind the bytes that have been read.
+func isClosedByPeer(raw syscall.RawConn) bool {
+	isClosed := false
+	_ = raw.Control(func(descriptor uintptr) {
+		var next [1]byte
+		n, _, err := unix.Recvfrom(int(descriptor), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		isClosed = n == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
+	})
+	return isClosed
+}
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -12,6 +12,7 @@
 
 	"verbenaway/core"
 	"verbenaway/core/admit"
+	"verbenaway/io/limit"
 )
 
 // gateNotForUpstream holds the request headers that are not forwarded to the upstream.
@@ -64,6 +65,9 @@
 	if kind, detail := c.resolveInstance(); kind != "" {
 		return kind, detail
 	}
+	if c.recorder == nil && limit.HasPeerClosed(c.request.Context()) {
+		return core.CanceledBeforeRun, "the sender has closed its connection"
+	}
 	trace := &gateTrace{}
 	c.outcome = gateUnknown
 	c.logDecision(core.DecisionAdmitted, "", "")
