admit: one grant in turn for less urgent requests

While an upload of the least urgent route waited for the link, the count of grants that passed it over was never reset, so that every further grant went to the least urgent request that could run. The turn now ends with its grant. TestOneTurnWhileUploadWaits failed before at grant 17.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -331,6 +331,11 @@
 
 // countPassedOver counts a grant for which a less urgent request has to wait on.
 func (c *Controller) countPassedOver(granted *Ticket) {
+	if c.passedOver >= maxPassedOver {
+		// This grant was the turn of the less urgent requests.
+		c.passedOver = 0
+		return
+	}
 	for _, ticket := range c.queue {
 		if ticket.claim.Priority > granted.claim.Priority {
 			c.passedOver++
--- a/core/admit/room_test.go
+++ b/core/admit/room_test.go
@@ -204,6 +204,72 @@
 	c.Assert(controller.Grant(at), qt.HasLen, 1)
 }
 
+// TestOneTurnWhileUploadWaits answers the pattern "an upload of the least urgent route waits for the link
+// while urgent requests fill every slot". It guards against less urgent requests that get every slot once
+// it is their turn, because the upload still waits.
+func TestOneTurnWhileUploadWaits(t *testing.T) {
+	c := qt.New(t)
+	now := start
+	controller := admit.New(admit.Config{
+		IsRegistered: true,
+		LinkRate:     1000,
+	})
+	upstream := newLoadRig(0).upstream
+	controller.SetUpstream(now, &upstream)
+	controller.Configure(now, &core.Snapshot{
+		Version: 1,
+		Services: map[core.ServiceName]core.ServiceSpec{
+			"s": {Name: "s", Slots: 1},
+		},
+		Routes: map[core.RouteName]core.RouteSpec{
+			"urgent": {Name: "urgent", Service: "s", Class: core.ClassOrder, Priority: 1},
+			"other":  {Name: "other", Service: "s", Class: core.ClassOrder, Priority: 3},
+			"upload": {Name: "upload", Service: "s", Class: core.ClassOrder, Priority: 5},
+		},
+	})
+	routes := map[*admit.Ticket]core.RouteName{}
+	offer := func(route core.RouteName, bytes int64) *admit.Ticket {
+		ticket := &admit.Ticket{}
+		routes[ticket] = route
+		decision := controller.Offer(now, admit.Request{
+			Route:     route,
+			Service:   "s",
+			Deadline:  now.Add(time.Hour),
+			Target:    now.Add(time.Hour),
+			BodyBytes: bytes,
+		}, ticket)
+		c.Assert(decision.Kind, qt.Equals, core.ErrorKind(""))
+		return ticket
+	}
+	for _, route := range []core.RouteName{"urgent", "other", "upload"} {
+		ticket := offer(route, 0)
+		now = now.Add(time.Millisecond)
+		controller.Finish(now, ticket, true)
+	}
+	// The link takes 100 s for this body, also after the request has ended.
+	running := offer("upload", 100_000)
+	for range 100 {
+		offer("urgent", 0)
+		offer("other", 0)
+	}
+	offer("upload", 100_000)
+	var order []core.RouteName
+	for range 60 {
+		wakes := controller.Finish(now, running, true)
+		c.Assert(wakes, qt.HasLen, 1)
+		c.Assert(wakes[0].Kind, qt.Equals, core.ErrorKind(""))
+		running = wakes[0].Ticket
+		order = append(order, routes[running])
+	}
+	for i, route := range order {
+		want := core.RouteName("urgent")
+		if i%17 == 16 {
+			want = "other"
+		}
+		c.Assert(route, qt.Equals, want, qt.Commentf("grant %d of %v", i, order))
+	}
+}
+
 // BenchmarkLongQueue measures an arrival and an end with hundreds of waiting requests.
 func BenchmarkLongQueue(b *testing.B) {
 	rig := newLoadRig(0)
