proxy: returns are measured by the first attempt

A failed request was remembered with the deadline of its latest attempt, so that different requests with one path and one patience formed a chain of attempts without end, late from the start. The deadline of the first attempt is kept now (TestReturnsDoNotDrift). The key is a hash of method, tenant, host and request URI instead of the path. Failures that a caller has no reason to repeat (a quota, most 4xx) are not remembered, nor are early calls that are not started (TestOnlyRepeatedFailuresReturn).

The target of a return was set by the rest of the deadline, counted from the first attempt, and so was too early; it is that of the first attempt, at most the deadline (TestReturnedRequestKeepsTarget).

TestReturns has the new signature and more keys; its cases stay.

--- a/core/room/returns.go
+++ b/core/room/returns.go
@@ -1,6 +1,10 @@
 package room
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// maxReturns bounds the failed requests that are remembered, the latest ones.
@@ -11,7 +15,7 @@
 )
 
 // Returns recognizes requests that come back after they failed. A caller that tries again asks for the
-// same as before until the same deadline, so a request with the path and deadline of a failed one is
+// same as before until the same deadline, so a request with the key and deadline of a failed one is
 // taken for another attempt of it. The zero value remembers none.
 type Returns struct {
 	// base is the time from which deadlines count, so that a step of the clock does not matter.
@@ -24,37 +28,61 @@
 }
 
 type failedRequest struct {
-	path string
-	// first is the arrival of the first attempt.
-	first time.Time
+	key   ReturnKey
+	first FirstAttempt
+}
+
+// ReturnKey is a hash of what the attempts of a request have in common.
+type ReturnKey uint64
+
+// ReturnKeyOf returns the key of a request.
+func ReturnKeyOf(method, tenant, host, uri string) ReturnKey {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, part := range [...]string{method, tenant, host, uri} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write(keySeparator)
+	}
+	return ReturnKey(digest.Sum64())
+}
+
+var keySeparator = []byte{0}
+
+// FirstAttempt is what the later attempts of a request are measured by.
+type FirstAttempt struct {
+	// Start is the arrival of the attempt.
+	Start time.Time
+	// Deadline is that of the attempt. All later ones are compared with it rather than with each
+	// other: otherwise, different requests whose deadlines follow each other closely would be a
+	// chain of attempts without end.
+	Deadline time.Time
 }
 
-// Add remembers a request that failed, with the arrival of its first attempt.
-func (r *Returns) Add(path string, deadline, first time.Time) {
+// Add remembers a request that failed, with its first attempt.
+func (r *Returns) Add(key ReturnKey, first FirstAttempt) {
 	if r.base.IsZero() {
-		r.base = first.Add(-time.Second)
+		r.base = first.Start.Add(-time.Second)
 	}
-	r.deadlines[r.next] = deadline.Sub(r.base)
+	r.deadlines[r.next] = first.Deadline.Sub(r.base)
 	r.failed[r.next] = failedRequest{
-		path:  path,
+		key:   key,
 		first: first,
 	}
 	r.next = (r.next + 1) % maxReturns
 }
 
-// Take returns the arrival of the first attempt of a request and forgets the failed one; ok is false for
-// a new request.
-func (r *Returns) Take(path string, deadline time.Time) (first time.Time, ok bool) {
+// Take returns the first attempt of a request and forgets the failed one; ok is false for a new request.
+func (r *Returns) Take(key ReturnKey, deadline time.Time) (first FirstAttempt, ok bool) {
 	wanted := deadline.Sub(r.base)
 	found, closest := -1, returnTolerance+1
 	for i := range r.deadlines {
 		off := wanted - r.deadlines[i]
-		if off = max(off, -off); off < closest && r.deadlines[i] != 0 && r.failed[i].path == path {
+		if off = max(off, -off); off < closest && r.deadlines[i] != 0 && r.failed[i].key == key {
 			found, closest = i, off
 		}
 	}
 	if found < 0 {
-		return time.Time{}, false
+		return FirstAttempt{}, false
 	}
 	r.deadlines[found] = 0
 	return r.failed[found].first, true
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -142,30 +142,59 @@
 	c.Assert(link.HasRoom(at(85), 100_000), qt.IsTrue)
 }
 
+// failed returns the first attempt of a request by its start and deadline in milliseconds.
+func failed(started, deadline int) room.FirstAttempt {
+	return room.FirstAttempt{
+		Start:    at(started),
+		Deadline: at(deadline),
+	}
+}
+
 // TestReturns guards against a request that comes back after a refusal and is taken for a new one, so
 // that it makes others late, and against a new request that is taken for a returned one.
 func TestReturns(t *testing.T) {
 	c := qt.New(t)
 	var returns room.Returns
-	returns.Add("/read/7", at(2000), at(0))
-	returns.Add("/read/7", at(2004), at(20))
+	key := room.ReturnKeyOf("GET", "drillers", "netbook.mesh", "/read/7")
+	returns.Add(key, failed(0, 2000))
+	returns.Add(key, failed(20, 2004))
 	for _, tc := range []struct {
 		name string
-		path string
+		key  room.ReturnKey
 		// deadline and first are in milliseconds; first is -1 for a new request.
 		deadline, first int
 	}{
-		{"another path", "/read/8", 2000, -1},
-		{"another deadline", "/read/7", 2050, -1},
-		{"the closest", "/read/7", 2003, 20},
-		{"with another way", "/read/7", 2005, 0},
-		{"each only once", "/read/7", 2000, -1},
+		{"another path", room.ReturnKeyOf("GET", "drillers", "netbook.mesh", "/read/8"), 2000, -1},
+		{"another method", room.ReturnKeyOf("PUT", "drillers", "netbook.mesh", "/read/7"), 2000, -1},
+		{"another tenant", room.ReturnKeyOf("GET", "north", "netbook.mesh", "/read/7"), 2000, -1},
+		{"another host", room.ReturnKeyOf("GET", "drillers", "cliffvault.mesh", "/read/7"), 2000, -1},
+		{"another deadline", key, 2050, -1},
+		{"the closest", key, 2003, 20},
+		{"with another way", key, 2005, 0},
+		{"each only once", key, 2000, -1},
 	} {
-		first, ok := returns.Take(tc.path, at(tc.deadline))
+		first, ok := returns.Take(tc.key, at(tc.deadline))
 		c.Assert(ok, qt.Equals, tc.first >= 0, qt.Commentf("%s", tc.name))
 		if ok {
-			c.Assert(first, qt.Equals, at(tc.first), qt.Commentf("%s", tc.name))
+			c.Assert(first.Start, qt.Equals, at(tc.first), qt.Commentf("%s", tc.name))
+		}
+	}
+}
+
+// TestReturnsDoNotDrift answers the pattern "many requests with one path and one patience fail". It
+// guards against a chain of different requests of which each is taken for the return of the previous one,
+// so that ever newer requests are late from the start.
+func TestReturnsDoNotDrift(t *testing.T) {
+	c := qt.New(t)
+	var returns room.Returns
+	key := room.ReturnKeyOf("GET", "", "netbook.mesh", "/read/7")
+	for now := 0; now < 4000; now += 20 {
+		first, ok := returns.Take(key, at(now+2000))
+		if !ok {
+			first = failed(now, now+2000)
 		}
+		c.Assert(at(now).Sub(first.Start) <= 30*time.Millisecond, qt.IsTrue, qt.Commentf("%d ms: %v", now, first.Start))
+		returns.Add(key, first)
 	}
 }
 
@@ -235,9 +264,9 @@
 func BenchmarkTakeReturn(b *testing.B) {
 	var returns room.Returns
 	for i := range 300 {
-		returns.Add("/read/7", at(i*10), at(0))
+		returns.Add(room.ReturnKeyOf("GET", "", "netbook.mesh", "/read/7"), failed(0, i*10))
 	}
 	for b.Loop() {
-		returns.Take("/read/7", at(4000))
+		returns.Take(room.ReturnKeyOf("GET", "", "netbook.mesh", "/read/7"), at(4000))
 	}
 }
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -113,17 +113,17 @@
 }
 
 // add is Returns.Add.
-func (r *returns) add(path string, deadline, first time.Time) {
+func (r *returns) add(key room.ReturnKey, first room.FirstAttempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.returns.Add(path, deadline, first)
+	r.returns.Add(key, first)
 }
 
 // take is Returns.Take.
-func (r *returns) take(path string, deadline time.Time) (time.Time, bool) {
+func (r *returns) take(key room.ReturnKey, deadline time.Time) (room.FirstAttempt, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.returns.Take(path, deadline)
+	return r.returns.Take(key, deadline)
 }
 
 // full is a room.Full for concurrent use.
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -28,8 +28,10 @@
 	// request and has claimed it.
 	isClaimed bool
 	started   time.Time
-	// firstStarted is the start of the caller's first attempt, as far as it is known.
-	firstStarted time.Time
+	// first is the caller's first attempt, as far as it is known; its deadline is zero if the caller gave
+	// none. returnKey is the key of its failures.
+	first     room.FirstAttempt
+	returnKey room.ReturnKey
 	// callerDeadline is the deadline of the caller, zero if it is unknown. That of the route may come
 	// sooner.
 	callerDeadline time.Time
@@ -479,6 +481,8 @@
 		_ = c.reply.control.SetReadDeadline(time.Now().Add(headerTimeout))
 	}
 	status := kind.Info().Status
+	// A dialect may give the refusal of a request that can be repeated any status.
+	c.reply.status = status
 	if dialect := c.entry.config.Dialect; dialect != nil {
 		status = dialect.SetRefusalHeaders(c.reply.w.Header(), core.Refusal{
 			Kind:       kind,
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"verbenaway/core"
+	"verbenaway/core/room"
 	"verbenaway/core/route"
 )
 
@@ -209,7 +210,7 @@
 // setDeadline applies the shorter of the route's and the caller's timeout.
 func (c *call) setDeadline() (core.ErrorKind, string) {
 	timeout := time.Duration(c.route.Spec.Timeout)
-	c.firstStarted = c.started
+	c.first.Start = c.started
 	if dialect := c.entry.config.Dialect; dialect != nil {
 		callerTimeout, ok, err := dialect.Timeout(c.request.Header)
 		if err != nil {
@@ -234,30 +235,48 @@
 	}
 	c.deadline = c.entry.config.Clock.Now().Add(timeout)
 	if target := time.Duration(c.route.Spec.LatencyTarget); target > 0 {
-		c.target = c.firstStarted.Add(min(target, timeout))
+		c.target = c.first.Start.Add(target)
+		if c.deadline.Before(c.target) {
+			c.target = c.deadline
+		}
 	}
 	c.ctx, c.cancel = context.WithTimeout(c.request.Context(), timeout)
 	return "", ""
 }
 
 // setFirstAttempt finds out whether the caller has tried the request before. Its latency counts from the
-// first attempt.
+// first attempt. An early call that is not started leaves this to the call that is.
 func (c *call) setFirstAttempt(callerTimeout time.Duration) {
+	if c.isEarly && !c.idempotent {
+		return
+	}
 	c.callerDeadline = c.started.Add(callerTimeout)
-	if first, ok := c.entry.returns.take(c.request.RequestURI, c.callerDeadline); ok {
-		c.firstStarted = first
+	c.returnKey = room.ReturnKeyOf(c.request.Method, string(c.tenant), c.request.Host, c.request.RequestURI)
+	if first, ok := c.entry.returns.take(c.returnKey, c.callerDeadline); ok {
+		c.first = first
 		c.entry.Counters.Returned.Add(1)
+		return
 	}
+	c.first.Deadline = c.callerDeadline
 }
 
-// recordFailed remembers a request without a successful answer, since its caller may try it again.
+// recordFailed remembers a request without a successful answer if its caller may try it again.
 func (c *call) recordFailed() {
-	isAnswered := c.reply.status != 0 && c.reply.status < http.StatusInternalServerError
-	if !c.callerDeadline.IsZero() && !isAnswered {
-		c.entry.returns.add(c.request.RequestURI, c.callerDeadline, c.firstStarted)
+	if !c.callerDeadline.IsZero() && isRepeatable(c.reply.status) {
+		c.entry.returns.add(c.returnKey, c.first)
 	}
 }
 
+// isRepeatable reports whether a caller may repeat a request after an answer with a status, 0 if there was
+// no answer. The same request would be refused again after most of the others.
+func isRepeatable(status int) bool {
+	switch status {
+	case 0, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return status >= http.StatusInternalServerError
+}
+
 // readBody buffers a small body, so that it can be sent again, and leaves a large one unread.
 func (c *call) readBody() (core.ErrorKind, string) {
 	length := c.request.ContentLength
--- a/io/proxy/room_test.go
+++ b/io/proxy/room_test.go
@@ -39,11 +39,18 @@
 	for _, attempt := range []struct {
 		after time.Duration
 		wait  int
+		// want is the time left until the target in milliseconds.
+		want int
 	}{
-		{wait: 5000},
-		{after: 200 * time.Millisecond, wait: 4800},
-		{after: 400 * time.Millisecond, wait: 4600},
-		{after: 400 * time.Millisecond, wait: 5000},
+		{wait: 5000, want: 500},
+		{after: 200 * time.Millisecond, wait: 4800, want: 300},
+		{after: 400 * time.Millisecond, wait: 4600, want: 100},
+		{after: 400 * time.Millisecond, wait: 5000, want: 500},
+		{after: 1000 * time.Millisecond, wait: 700, want: 500},
+		// The rest of the deadline is shorter than the target from the first attempt on.
+		{after: 1400 * time.Millisecond, wait: 300, want: 100},
+		{after: 1600 * time.Millisecond, wait: 100, want: 0},
+		{after: 2000 * time.Millisecond, wait: 300, want: 300},
 	} {
 		clock.ahead.Store(int64(attempt.after))
 		targets = nil
@@ -51,10 +58,53 @@
 		request.Header.Set("X-Wait", strconv.Itoa(attempt.wait))
 		rig.do(request)
 		c.Assert(len(targets) > 0, qt.IsTrue)
-		want := 500 - (5000 - attempt.wait)
-		c.Assert(targets[0], qt.Equals, strconv.Itoa(want), qt.Commentf("%+v", attempt))
+		c.Assert(targets[0], qt.Equals, strconv.Itoa(attempt.want), qt.Commentf("%+v", attempt))
+	}
+	c.Assert(rig.entry.Counters.Returned.Value(), qt.Equals, int64(4))
+}
+
+// TestOnlyRepeatedFailuresReturn guards against a new request that is taken for a return of one that its
+// caller has no reason to repeat, and against one that loses its first attempt to an early call that is
+// not started.
+func TestOnlyRepeatedFailuresReturn(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		path     string
+		answer   func(http.ResponseWriter)
+		isEarly  bool
+		returned int64
+	}{
+		{"overloaded", "/lookup", func(w http.ResponseWriter) { Refuse(w, core.Overloaded, "scripted") }, false, 1},
+		{"over quota", "/lookup", func(w http.ResponseWriter) { Refuse(w, core.Limited, "scripted") }, false, 0},
+		{"no such record", "/lookup", func(w http.ResponseWriter) { w.WriteHeader(http.StatusNotFound) }, false, 0},
+		{"failed", "/lookup", func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }, false, 1},
+		{"in vain on this connection", "/lookup", func(w http.ResponseWriter) { w.WriteHeader(http.StatusMisdirectedRequest) }, false, 1},
+		{"early call not started", "/order", func(w http.ResponseWriter) { w.WriteHeader(http.StatusOK) }, true, 0},
+		{"early call before a return", "/order", func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }, true, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			rig := newEntryRig(t, func(config *EntryConfig) {
+				config.Dialect = fakeDialect{}
+				config.NewBudget = func(_ core.ServiceName, now time.Time) core.RetryBudget {
+					return retry.NewWindowBudget(retry.WindowBudgetConfig{Span: time.Second}, now)
+				}
+				config.Clock = fixedClock{base: time.Now(), clock: &gateFakeClock{}}
+				config.LocalGate = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { tc.answer(w) })
+			}, gateHost("self", ""))
+			for range 2 {
+				request := rig.request("POST", tc.path, "")
+				request.Header.Set("X-Wait", "1000")
+				if tc.isEarly {
+					early := request.Clone(t.Context())
+					early.RequestURI = tc.path
+					c.Assert(rig.entry.serve(httptest.NewRecorder(), early, nil, true), qt.IsFalse)
+				}
+				rig.do(request)
+			}
+			c.Assert(rig.entry.Counters.Returned.Value(), qt.Equals, tc.returned)
+		})
 	}
-	c.Assert(rig.entry.Counters.Returned.Value(), qt.Equals, int64(2))
 }
 
 // fixedClock stands still but for the steps of another clock.
