room, proxy: full upstreams leave the others to a request

A request was refused for good when the upstream that seemed best was known to have no room, though the next one may have had some, after the bytes to another region had been charged. Upstreams without room now count as tried before the choice; the request is refused at once only if there are no others. What is known depends on priority and body too, ends with an answer to a request that is not more urgent, and one request a second asks each upstream again, at most one upstream for each request.

TestFullUpstreamLeavesOthers covers both sides: the free upstream is found, and full ones are asked once. TestFull has the new signature; TestFullUpstreamIsNotAsked has further steps.

--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"verbenaway/core"
 	"verbenaway/core/room"
 )
 
@@ -199,16 +200,38 @@
 }
 
 // TestFull answers the pattern "all upstreams of a service start at once". It guards against attempts
-// at upstreams that are known to have no room, and against upstreams that are avoided for good.
+// at upstreams that are known to have no room, and against upstreams that are avoided for good or by
+// requests for which they have room.
 func TestFull(t *testing.T) {
 	c := qt.New(t)
 	var full room.Full
-	c.Assert(full.RoomAfter(start, "check", "h1"), qt.Equals, time.Duration(0))
-	full.Record(start, "check", "h1", time.Second)
-	c.Assert(full.RoomAfter(at(300), "check", "h1"), qt.Equals, 700*time.Millisecond)
-	c.Assert(full.RoomAfter(at(300), "check", "h2"), qt.Equals, time.Duration(0))
-	c.Assert(full.RoomAfter(at(300), "order", "h1"), qt.Equals, time.Duration(0))
-	c.Assert(full.RoomAfter(at(1000), "check", "h1"), qt.Equals, time.Duration(0))
+	check := room.FullKey{Route: "check", Priority: 2}
+	hosts := func(milliseconds int, key room.FullKey, left time.Duration, asks bool) []core.HostName {
+		found, _ := full.WithoutRoom(at(milliseconds), key, left, asks, nil)
+		return found
+	}
+	c.Assert(hosts(0, check, 0, true), qt.HasLen, 0)
+	full.Record(start, check, "h1", 3*time.Second)
+	full.Record(start, check, "h2", 2*time.Second)
+	both := []core.HostName{"h1", "h2"}
+	found, roomAfter := full.WithoutRoom(at(300), check, time.Second, true, nil)
+	c.Assert(found, qt.DeepEquals, both)
+	c.Assert(roomAfter, qt.Equals, 1700*time.Millisecond)
+	c.Assert(hosts(300, check, 2*time.Second, true), qt.DeepEquals, both[:1])
+	c.Assert(hosts(300, room.FullKey{Route: "order", Priority: 2}, 0, true), qt.HasLen, 0)
+	c.Assert(hosts(300, room.FullKey{Route: "check", Priority: 1}, 0, true), qt.HasLen, 0)
+	c.Assert(hosts(300, room.FullKey{Route: "check", Priority: 2, HasBody: true}, 0, true), qt.HasLen, 0)
+	// One request asks each upstream again after a second.
+	c.Assert(hosts(1000, check, 0, false), qt.DeepEquals, both)
+	c.Assert(hosts(1000, check, 0, true), qt.DeepEquals, both[1:])
+	c.Assert(hosts(1000, check, 0, true), qt.DeepEquals, both[:1])
+	c.Assert(hosts(1000, check, 0, true), qt.DeepEquals, both)
+	c.Assert(hosts(2000, check, 0, false), qt.DeepEquals, both[:1])
+	// An answer to a more urgent request says nothing about this one.
+	full.Forget(room.FullKey{Route: "check", Priority: 1}, "h1")
+	c.Assert(hosts(2000, check, 0, false), qt.DeepEquals, both[:1])
+	full.Forget(check, "h1")
+	c.Assert(hosts(2000, check, 0, false), qt.HasLen, 0)
 }
 
 // TestDemand guards against an expected wait that leaves out the more urgent requests that will come
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -133,17 +133,24 @@
 }
 
 // record is Full.Record.
-func (f *full) record(now time.Time, route core.RouteName, host core.HostName, roomAfter time.Duration) {
+func (f *full) record(now time.Time, key room.FullKey, host core.HostName, roomAfter time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.full.Record(now, route, host, roomAfter)
+	f.full.Record(now, key, host, roomAfter)
 }
 
-// roomAfter is Full.RoomAfter.
-func (f *full) roomAfter(now time.Time, route core.RouteName, host core.HostName) time.Duration {
+// forget is Full.Forget.
+func (f *full) forget(key room.FullKey, host core.HostName) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.full.RoomAfter(now, route, host)
+	f.full.Forget(key, host)
+}
+
+// withoutRoom is Full.WithoutRoom.
+func (f *full) withoutRoom(now time.Time, key room.FullKey, left time.Duration, asks bool, hosts []core.HostName) ([]core.HostName, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.full.WithoutRoom(now, key, left, asks, hosts)
 }
 
 // NewEntry returns an entry that is ready to serve requests.
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -265,9 +266,6 @@
 	}
 	balancer := c.entry.balancer
 	defer balancer.Release(c.choice)
-	if r, isFull := c.refuseIfFull(); isFull {
-		return r
-	}
 	c.tried = append(c.tried, c.choice.Host.Name)
 	c.setAttemptHeaders()
 	c.logDecision(core.DecisionSent, result{
@@ -276,11 +274,14 @@
 	c.header[keyTimeout] = []string{strconv.FormatInt(left.Milliseconds(), 10)}
 	c.entry.Counters.Attempts.Add(1)
 	r := c.send()
+	if r.answered && c.entry.config.Dialect != nil {
+		c.entry.full.forget(c.fullKey(), c.choice.Host.Name)
+	}
 	if !r.answered {
 		now := c.entry.config.Clock.Now()
 		balancer.RecordRefusal(now, c.choice, r.failure.Kind)
 		if r.isCapacityRefusal() && r.retryAfter > 0 {
-			c.entry.full.record(now, c.route.Spec.Name, c.choice.Host.Name, r.retryAfter)
+			c.entry.full.record(now, c.fullKey(), c.choice.Host.Name, r.retryAfter)
 		}
 		if c.choice.HasFreeSlot && r.isCapacityRefusal() && c.entry.config.Dialect != nil {
 			// The upstream had no free slot after all. The request may still queue there if no
@@ -291,19 +292,13 @@
 	return r
 }
 
-// refuseIfFull refuses the request if the best upstream is known to have no room before the deadline.
-func (c *call) refuseIfFull() (r result, isFull bool) {
-	if c.entry.config.Dialect == nil {
-		return result{}, false
-	}
-	roomAfter := c.entry.full.roomAfter(c.entry.config.Clock.Now(), c.route.Spec.Name, c.choice.Host.Name)
-	if roomAfter < c.timeLeft() {
-		return result{}, false
+// fullKey returns what the room for the request depends on.
+func (c *call) fullKey() room.FullKey {
+	return room.FullKey{
+		Route:    c.route.Spec.Name,
+		Priority: c.view.table.Snapshot().RequestPriority(&c.route.Spec, c.tenant),
+		HasBody:  c.stream != nil || len(c.body) >= minExpectContinueBytes,
 	}
-	r = failedAttempt(core.Overloaded, true, "no upstream has room before the deadline")
-	r.final = true
-	r.retryAfter = roomAfter
-	return r, true
 }
 
 func (c *call) send() result {
@@ -364,16 +359,29 @@
 	}
 	now := c.entry.config.Clock.Now()
 	choose := c.entry.balancer.Choose
+	var full []core.HostName
+	var roomAfter time.Duration
 	if c.entry.config.Dialect != nil {
 		choose = c.entry.balancer.ChooseByCost
+		// Upstreams without room before the deadline count as tried.
+		full, roomAfter = c.entry.full.withoutRoom(now, c.fullKey(), c.timeLeft(), c.capacityRefusals == 0, nil)
+		if len(full) > 0 {
+			query.Tried = slices.Concat(c.tried, full)
+		}
 	}
 	var ok bool
 	if c.choice, ok = choose(now, query); !ok && len(c.tried) > 0 {
 		// Every upstream has refused. After the backoff, each of them may have a free slot.
 		c.tried = c.tried[:0]
-		query.Tried = nil
+		query.Tried = full
 		c.choice, ok = choose(now, query)
 	}
+	if !ok && len(full) > 0 {
+		r := failedAttempt(core.Overloaded, true, "no upstream has room before the deadline")
+		r.final = true
+		r.retryAfter = roomAfter
+		return r, false
+	}
 	if !ok {
 		r := failedAttempt(core.NoUpstream, true, "no upstream of service "+string(c.service.Name)+" can take the request")
 		r.final = true
--- a/io/proxy/room_test.go
+++ b/io/proxy/room_test.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -208,4 +210,58 @@
 	c.Assert(ask(5000) > 0, qt.IsTrue)
 	clock.ahead.Store(int64(3 * time.Second))
 	c.Assert(ask(1000), qt.Equals, 1)
+	// Another request asks again after a second, and then none for the next one.
+	clock.ahead.Store(int64(4100 * time.Millisecond))
+	c.Assert(ask(500), qt.Equals, 1)
+	c.Assert(ask(500), qt.Equals, 0)
+}
+
+// TestFullUpstreamLeavesOthers guards against refusals of requests that an upstream has room for, because
+// the one that seems best has none, and against requests that ask every full upstream.
+func TestFullUpstreamLeavesOthers(t *testing.T) {
+	c := qt.New(t)
+	var hosts []core.Host
+	asked := make([]atomic.Int64, 6)
+	free := new(atomic.Int64)
+	free.Store(5)
+	for i := range asked {
+		hosts = append(hosts, gateHost("h"+strconv.Itoa(i), startGate(t, func(w http.ResponseWriter, _ *http.Request) {
+			asked[i].Add(1)
+			if free.Load() == int64(i) {
+				w.Header().Set("X-Signed", "true")
+				w.WriteHeader(http.StatusOK)
+				return
+			}
+			w.Header().Set(HeaderRetryAfter, "60000")
+			Refuse(w, core.Overloaded, "scripted")
+		})))
+	}
+	rig := newEntryRig(t, func(config *EntryConfig) {
+		config.Dialect = fakeDialect{}
+		config.NewBudget = func(_ core.ServiceName, now time.Time) core.RetryBudget {
+			return retry.NewWindowBudget(retry.WindowBudgetConfig{Span: time.Second}, now)
+		}
+		config.Clock = fixedClock{base: time.Now(), clock: &gateFakeClock{}}
+		config.Sleep = func(context.Context, time.Duration) error { return nil }
+	}, hosts...)
+	statuses := map[int]int{}
+	for range 20 {
+		request := rig.request("GET", "/lookup", "")
+		request.Header.Set("X-Wait", "5000")
+		statuses[rig.do(request).status]++
+	}
+	// Until the full ones are known, some requests ask only these.
+	c.Assert(statuses[http.StatusOK] >= 18, qt.IsTrue, qt.Commentf("%v", statuses))
+	for i := range asked[:5] {
+		c.Assert(asked[i].Load() <= 1, qt.IsTrue, qt.Commentf("host %d was asked %d times", i, asked[i].Load()))
+	}
+	free.Store(-1)
+	for range 20 {
+		request := rig.request("GET", "/lookup", "")
+		request.Header.Set("X-Wait", "5000")
+		c.Assert(rig.do(request).status, qt.Equals, http.StatusServiceUnavailable)
+	}
+	for i := range asked[:5] {
+		c.Assert(asked[i].Load() <= 1, qt.IsTrue, qt.Commentf("host %d was asked %d times", i, asked[i].Load()))
+	}
 }
