proxy: an earlier grant moves the timer, and messages that earlier releases read

The timer for a waiting upload stayed set for the time at which the upload before it would have run out, also after that one had ended (TestGrantTimerMovesUp). TestUploadsWaitForLink had been eased to a body of 1 s; it is back to one whose time on the link (30 s, within the route's and the queue's minute) exceeds any run, with a clock that stands still: a broken upload counts exactly as long as the whole body needs.

HeaderLoad keeps to five numbers, since entries of earlier releases drop a longer report; slowness and link are in HeaderHostLoad. A displaced request is refused as overloaded on the wire, since these entries take an unknown kind for a lost answer (TestParseLoad, TestSlownessReachesEntries, TestDisplacedOnTheWire). TestParseLoad has the cases of the two headers in place of those of eight numbers.

--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -103,7 +103,7 @@
 
 // recordAnswerHeaders records the load and the version from the headers of an answer.
 func (c *call) recordAnswerHeaders(header http.Header) {
-	c.recordLoad(firstValue(header, keyLoad))
+	c.recordLoad(firstValue(header, keyLoad), firstValue(header, keyHostLoad))
 	if text := firstValue(header, keyVersion); text != "" && text != c.view.table.Version() {
 		if version, err := strconv.ParseUint(text, 10, 64); err == nil {
 			c.entry.config.Config.ObserveVersion(c.choice.Host.Name, core.Version(version))
@@ -111,9 +111,9 @@
 	}
 }
 
-// recordLoad records the load of an upstream from the value of HeaderLoad.
-func (c *call) recordLoad(text string) {
-	report, form := parseLoad(text)
+// recordLoad records the load of an upstream from the values of HeaderLoad and HeaderHostLoad.
+func (c *call) recordLoad(load, hostLoad string) {
+	report, form := parseLoad(load, hostLoad)
 	balancer, now := c.entry.balancer, c.entry.config.Clock.Now()
 	switch form {
 	case loadOnly:
@@ -131,49 +131,61 @@
 	loadInvalid loadForm = iota
 	// loadOnly is the number of requests in flight and the limit.
 	loadOnly
-	// loadWithEstimate is a whole report, in which numbers that older daemons do not send are 0.
+	// loadWithEstimate is a whole report; the numbers of HeaderHostLoad are 0 if that is missing.
 	loadWithEstimate
 )
 
-// The counts of numbers in the forms of HeaderLoad.
+// The counts of numbers in the forms of HeaderLoad and in HeaderHostLoad.
 const (
-	loadNumbers         = 2
-	estimateNumbers     = 5
-	moreEstimateNumbers = 8
+	loadNumbers     = 2
+	estimateNumbers = 5
+	hostLoadNumbers = 3
 )
 
-// parseLoad parses a value of HeaderLoad.
-func parseLoad(text string) (route.LoadReport, loadForm) {
-	var numbers [moreEstimateNumbers]int
-	count := 0
-	for part := range strings.SplitSeq(text, "/") {
-		if count == len(numbers) {
-			break
-		}
-		number, err := strconv.Atoi(part)
-		if err != nil || number < 0 {
-			return route.LoadReport{}, loadInvalid
-		}
-		numbers[count] = number
-		count++
-	}
+// parseLoad parses a value of HeaderLoad and one of HeaderHostLoad, which may be "".
+func parseLoad(load, hostLoad string) (route.LoadReport, loadForm) {
+	// One more than there may be tells a longer report apart.
+	var numbers [estimateNumbers + 1]int
+	count := parseNumbers(load, numbers[:])
 	report := route.LoadReport{
 		InFlight:     numbers[0],
 		Limit:        numbers[1],
 		QueueTime:    time.Duration(numbers[2]) * time.Microsecond,
 		ServiceTime:  time.Duration(numbers[3]) * time.Microsecond,
 		FailureRatio: float64(numbers[4]) / permille,
-		Slowness:     float64(numbers[5]) / percent,
-		LinkRate:     int64(numbers[6]),
-		LinkWait:     time.Duration(numbers[7]) * time.Microsecond,
 	}
 	switch count {
 	case loadNumbers:
 		return report, loadOnly
-	case estimateNumbers, moreEstimateNumbers:
-		return report, loadWithEstimate
+	case estimateNumbers:
+	default:
+		return route.LoadReport{}, loadInvalid
+	}
+	var host [hostLoadNumbers]int
+	if parseNumbers(hostLoad, host[:]) == hostLoadNumbers {
+		report.Slowness = float64(host[0]) / percent
+		report.LinkRate = int64(host[1])
+		report.LinkWait = time.Duration(host[2]) * time.Microsecond
+	}
+	return report, loadWithEstimate
+}
+
+// parseNumbers parses numbers separated by slashes, as many as there is space for, and returns their
+// count, 0 if one is malformed.
+func parseNumbers(text string, numbers []int) int {
+	count := 0
+	for part := range strings.SplitSeq(text, "/") {
+		if count == len(numbers) {
+			break
+		}
+		number, err := strconv.Atoi(part)
+		if err != nil || number < 0 {
+			return 0
+		}
+		numbers[count] = number
+		count++
 	}
-	return route.LoadReport{}, loadInvalid
+	return count
 }
 
 // refusal returns the result that the headers of a refusal report, or false for an answer of the
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -73,6 +73,8 @@
 	admission *admit.Controller
 	// grantTimer fires when the rate limit of a cold start lets a queued request start.
 	grantTimer *time.Timer
+	// grantAt is the time for which grantTimer is set.
+	grantAt time.Time
 	// connectBackoffUntil is the end of the backoff after a failed connection attempt. Until then
 	// requests are refused at once, since another attempt could wait until the dial timeout.
 	connectBackoffUntil time.Time
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -285,17 +285,31 @@
 // back. The caller holds mu.
 func (g *Gate) scheduleGrant(now time.Time) {
 	at := g.admission.NextGrant(now)
-	if at.IsZero() || g.grantTimer != nil {
+	if at.IsZero() {
 		return
 	}
-	g.grantTimer = time.AfterFunc(at.Sub(now), func() {
+	if g.grantTimer != nil {
+		if !at.Before(g.grantAt) {
+			return
+		}
+		// The room comes earlier than it seemed, as after an upload that broke off.
+		g.grantTimer.Stop()
+	}
+	g.grantAt = at
+	var timer *time.Timer
+	timer = time.AfterFunc(at.Sub(now), func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		if g.grantTimer != timer {
+			// A timer that was set for an earlier time has replaced this one.
+			return
+		}
 		g.grantTimer = nil
 		later := g.config.Clock.Now()
 		g.deliverWakes(g.admission.Grant(later))
 		g.scheduleGrant(later)
 	})
+	g.grantTimer = timer
 }
 
 // Refresh applies a change of the configuration or of the upstream to the queued requests.
@@ -392,6 +406,10 @@
 		c.writer.Header()[keyRetryAfter] = []string{strconv.FormatInt(c.retryAfter.Milliseconds()+1, 10)}
 	}
 	c.logDecision(core.DecisionDeclined, kind, detail)
+	if kind == core.Displaced {
+		// Entries of earlier releases do not know this kind and would take it for a lost answer.
+		kind = core.Overloaded
+	}
 	Refuse(c.writer, kind, detail)
 }
 
@@ -403,7 +421,7 @@
 	}
 }
 
-// The units of the failure ratio and of the slowness in HeaderLoad.
+// The units of the failure ratio in HeaderLoad and of the slowness in HeaderHostLoad.
 const (
 	permille = 1000
 	percent  = 100
@@ -448,7 +466,9 @@
 	load = append(load, '/')
 	load = strconv.AppendInt(load, int64(c.limit), 10)
 	if c.gate.config.Upstream != nil && c.snapshot != nil {
-		load = c.appendEstimate(load)
+		var hostLoad []byte
+		load, hostLoad = c.appendEstimate(load)
+		header[keyHostLoad] = []string{string(hostLoad)}
 	}
 	header[keyLoad] = []string{string(load)}
 	if c.body != nil && !c.body.isAtEnd() {
@@ -462,26 +482,33 @@
 	}
 }
 
-// appendEstimate appends the numbers of HeaderLoad that follow the load.
-func (c *gateCall) appendEstimate(load []byte) []byte {
+// appendEstimate appends the numbers of HeaderLoad that follow the load, and returns those of
+// HeaderHostLoad.
+func (c *gateCall) appendEstimate(load []byte) (withEstimate, hostLoad []byte) {
 	g := c.gate
 	now := g.config.Clock.Now()
 	g.mu.Lock()
 	estimate := g.admission.Estimate(now, c.admitRequest.Route)
 	g.mu.Unlock()
-	numbers := [...]int64{
+	for _, number := range [...]int64{
 		estimate.QueueTime.Microseconds(),
 		estimate.ServiceTime.Microseconds(),
 		int64(estimate.FailureRatio * permille),
+	} {
+		load = append(load, '/')
+		load = strconv.AppendInt(load, number, 10)
+	}
+	for i, number := range [...]int64{
 		int64(estimate.Slowness * percent),
 		g.link.Rate(),
 		g.link.Wait(now).Microseconds(),
+	} {
+		if i > 0 {
+			hostLoad = append(hostLoad, '/')
+		}
+		hostLoad = strconv.AppendInt(hostLoad, number, 10)
 	}
-	for _, number := range numbers {
-		load = append(load, '/')
-		load = strconv.AppendInt(load, number, 10)
-	}
-	return load
+	return load, hostLoad
 }
 
 // recordSlowness passes the slowness that the upstream reports on to admission control.
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -39,10 +39,12 @@
 	// HeaderLoad in an answer is "inFlight/limit" of the upstream that sent it. Where upstreams
 	// register themselves, "/queueUs/serviceUs/failedPermille" follows: the expected queue time
 	// and service time of a new request of the route, in microseconds, and the failure ratio of
-	// the latest requests. Newer daemons add "/slownessPercent/linkBytesPerSecond/linkUs": how long
-	// work takes at this moment compared with the service time, the speed of the host's link and the
-	// time that an answer would wait for it. 0 means unknown. Further numbers are ignored.
+	// the latest requests. There are never more numbers: earlier releases drop a longer report.
 	HeaderLoad = "Verbenaway-Load"
+	// HeaderHostLoad in an answer is "slownessPercent/linkBytesPerSecond/linkUs": how long work takes
+	// at this moment compared with the service time, the speed of the host's link and the time that an
+	// answer would wait for it. 0 means unknown. Further numbers are ignored.
+	HeaderHostLoad = "Verbenaway-HostLoad"
 	// HeaderError in an answer is the error kind of a refusal.
 	HeaderError = "Verbenaway-Error"
 	// HeaderOutcome in a refusal is one of the outcomes below.
@@ -69,6 +71,7 @@
 	keyError       = http.CanonicalHeaderKey(HeaderError)
 	keyHomeRegions = http.CanonicalHeaderKey(HeaderHomeRegions)
 	keyIdempotency = http.CanonicalHeaderKey(HeaderIdempotencyKey)
+	keyHostLoad    = http.CanonicalHeaderKey(HeaderHostLoad)
 	keyLoad        = http.CanonicalHeaderKey(HeaderLoad)
 	keyOutcome     = http.CanonicalHeaderKey(HeaderOutcome)
 	keyRoute       = http.CanonicalHeaderKey(HeaderRoute)
@@ -124,4 +127,5 @@
 	HeaderArrived,
 	HeaderRetryAfter,
 	HeaderProbe,
+	HeaderHostLoad,
 }
--- a/io/proxy/load_test.go
+++ b/io/proxy/load_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"verbenaway/core"
 	"verbenaway/core/route"
 )
 
@@ -23,24 +25,26 @@
 	withLink := full
 	withLink.Slowness, withLink.LinkRate, withLink.LinkWait = 2.5, 2_000_000, 45*time.Millisecond
 	cases := []struct {
-		text string
-		form loadForm
-		want route.LoadReport
+		load, hostLoad string
+		form           loadForm
+		want           route.LoadReport
 	}{
-		{text: "3/6", form: loadOnly, want: route.LoadReport{InFlight: 3, Limit: 6}},
-		{text: "3/6/2000/50000/10", form: loadWithEstimate, want: full},
-		{text: "3/6/2000/50000/10/250/2000000/45000", form: loadWithEstimate, want: withLink},
-		{text: "3/6/2000/50000/10/250/2000000/45000/7/of a later release", form: loadWithEstimate, want: withLink},
-		{text: ""},
-		{text: "3"},
-		{text: "3/6/2000"},
-		{text: "3/6/2000/50000/10/250"},
-		{text: "3/-6"},
-		{text: "3/x"},
+		{load: "3/6", form: loadOnly, want: route.LoadReport{InFlight: 3, Limit: 6}},
+		{load: "3/6/2000/50000/10", form: loadWithEstimate, want: full},
+		{load: "3/6/2000/50000/10", hostLoad: "250/2000000/45000", form: loadWithEstimate, want: withLink},
+		{load: "3/6/2000/50000/10", hostLoad: "250/2000000/45000/7/of a later release", form: loadWithEstimate, want: withLink},
+		{load: "3/6/2000/50000/10", hostLoad: "250/2000000", form: loadWithEstimate, want: full},
+		{load: "3/6/2000/50000/10", hostLoad: "250/x/45000", form: loadWithEstimate, want: full},
+		{load: "", hostLoad: "250/2000000/45000"},
+		{load: "3"},
+		{load: "3/6/2000"},
+		{load: "3/6/2000/50000/10/250"},
+		{load: "3/-6"},
+		{load: "3/x"},
 	}
 	for _, tc := range cases {
-		t.Run(tc.text, func(t *testing.T) {
-			report, form := parseLoad(tc.text)
+		t.Run(tc.load+" "+tc.hostLoad, func(t *testing.T) {
+			report, form := parseLoad(tc.load, tc.hostLoad)
 			qt.Assert(t, form, qt.Equals, tc.form)
 			qt.Assert(t, report, qt.Equals, tc.want)
 		})
@@ -66,4 +70,14 @@
 	percent = "300"
 	c.Assert(rig.send("GET", "/lookup/1", "").status, qt.Equals, http.StatusOK)
 	c.Assert(slowness() > 1, qt.IsTrue)
+	call := &gateCall{
+		gate:     rig.hosts[0].gate,
+		snapshot: &core.Snapshot{},
+	}
+	header := http.Header{}
+	call.setOwnHeaders(header)
+	// Entries of earlier releases drop a load of more than five numbers.
+	c.Assert(strings.Count(header.Get(HeaderLoad), "/"), qt.Equals, estimateNumbers-1)
+	report, _ := parseLoad(header.Get(HeaderLoad), header.Get(HeaderHostLoad))
+	c.Assert(report.Slowness > 1, qt.IsTrue)
 }
--- a/io/proxy/room_test.go
+++ b/io/proxy/room_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"verbenaway/core"
+	"verbenaway/core/admit"
 	"verbenaway/core/retry"
 )
 
@@ -124,23 +125,25 @@
 	for _, tc := range []struct {
 		name string
 		// linkSeconds is the time that a body needs on the link.
-		linkSeconds float64
+		linkSeconds int64
 		// end ends the body of the first upload, of which half was sent.
 		end func(*io.PipeWriter)
 	}{
-		{"arrived", 60, func(body *io.PipeWriter) {
+		{"arrived", 30, func(body *io.PipeWriter) {
 			_, _ = body.Write(make([]byte, size/2))
 			_ = body.Close()
 		}},
-		// What was sent may count for as long as it needs on the link.
-		{"broken off", 1, func(body *io.PipeWriter) { _ = body.CloseWithError(io.ErrUnexpectedEOF) }},
+		// What was sent may count for as long as the whole body needs on the link, and no longer.
+		{"broken off", 30, func(body *io.PipeWriter) { _ = body.CloseWithError(io.ErrUnexpectedEOF) }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c := qt.New(t)
 			upstream := newGateRawUpstream(t, func(conn net.Conn, _ int64) bool { return gateWriteOK(conn) })
 			rig := newGateRig(t, upstream.address())
 			config := rig.gate.config
-			config.LinkRate = int64(size / tc.linkSeconds)
+			config.LinkRate = size / tc.linkSeconds
+			base, clock := time.Now(), &gateFakeClock{}
+			config.Clock = fixedClock{base: base, clock: clock}
 			gate := NewGate(config)
 			server := httptest.NewServer(gate)
 			t.Cleanup(func() {
@@ -171,6 +174,19 @@
 			}
 			tc.end(first)
 			<-firstResult
+			// What was sent of a broken upload may count for as long as the whole needs on the link.
+			passed := time.Duration(float64(size) / float64(config.LinkRate) * float64(time.Second))
+			for isOver := false; !isOver; time.Sleep(time.Millisecond) {
+				gate.mu.Lock()
+				isGranted := gate.admission.Waiting() == 0
+				isOver = isGranted || gate.admission.InFlight() == 0
+				if isOver && !isGranted {
+					qt.Check(t, gate.grantAt, qt.Equals, base.Add(passed))
+					clock.ahead.Store(int64(passed))
+					gate.grantTimer.Reset(0)
+				}
+				gate.mu.Unlock()
+			}
 			_, err = second.Write(make([]byte, size))
 			c.Assert(err, qt.IsNil)
 			_ = second.Close()
@@ -179,6 +195,63 @@
 	}
 }
 
+// TestGrantTimerMovesUp guards against a waiting upload that gets its slot only when the one before it
+// would have run out of time, although that one has ended.
+func TestGrantTimerMovesUp(t *testing.T) {
+	c := qt.New(t)
+	rig := newGateRig(t, "127.0.0.1:0")
+	config := rig.gate.config
+	config.LinkRate = 100
+	base, clock := time.Now(), &gateFakeClock{}
+	config.Clock = fixedClock{base: base, clock: clock}
+	gate := NewGate(config)
+	request := admit.Request{
+		Route:     "order",
+		Deadline:  base.Add(time.Minute),
+		BodyBytes: 1000,
+	}
+	var first, second admit.Ticket
+	waiting := &gateCall{wake: make(chan admit.Wake, 1)}
+	second.Owner = waiting
+	gate.mu.Lock()
+	gate.configure(base, rig.view.snapshot.Load())
+	c.Assert(gate.admission.Offer(base, request, &first), qt.Equals, admit.Decision{})
+	c.Assert(gate.admission.Offer(base, request, &second).Wait, qt.IsTrue)
+	gate.scheduleGrant(base)
+	stale := gate.grantTimer
+	c.Assert(gate.grantAt, qt.Equals, base.Add(40200*time.Millisecond))
+	gate.mu.Unlock()
+	clock.ahead.Store(int64(time.Second))
+	gate.finish(&first, false)
+	gate.mu.Lock()
+	c.Assert(gate.grantAt, qt.Equals, base.Add(11*time.Second))
+	moved := gate.grantTimer
+	gate.mu.Unlock()
+	clock.ahead.Store(int64(11 * time.Second))
+	// The timer that was replaced may already have fired.
+	stale.Reset(0)
+	time.Sleep(10 * time.Millisecond)
+	gate.mu.Lock()
+	c.Assert(gate.grantTimer, qt.Equals, moved)
+	gate.mu.Unlock()
+	moved.Reset(0)
+	c.Assert((<-waiting.wake).Kind, qt.Equals, core.ErrorKind(""))
+	gate.finish(&second, false)
+}
+
+// TestDisplacedOnTheWire guards against a refusal that entries of earlier releases take for a lost answer.
+func TestDisplacedOnTheWire(t *testing.T) {
+	c := qt.New(t)
+	rig := newGateRig(t, "127.0.0.1:0")
+	recorder := httptest.NewRecorder()
+	call, kind, _ := rig.gate.newCall(recorder, rig.request("GET", "lookup", nil))
+	c.Assert(kind, qt.Equals, core.ErrorKind(""))
+	call.refuse(core.Displaced, "scripted")
+	c.Assert(recorder.Header().Get(HeaderError), qt.Equals, string(core.Overloaded))
+	c.Assert(recorder.Header().Get(HeaderOutcome), qt.Equals, OutcomeNotRun)
+	c.Assert(rig.gate.counters.Refused.Get(string(core.Displaced)).String(), qt.Equals, "1")
+}
+
 // TestFullUpstreamIsNotAsked guards against attempts at an upstream that has just said that it has no room
 // before the deadline of the request, and against refusals of requests that it can still serve.
 func TestFullUpstreamIsNotAsked(t *testing.T) {
