proxy: test that the next upstream is chosen after a full one

TestFullUpstreamLeavesOthers also passed while the best upstream alone decided, since the backoff after a refusal hides it.

--- a/io/proxy/room_test.go
+++ b/io/proxy/room_test.go
@@ -289,6 +289,35 @@
 	c.Assert(ask(500), qt.Equals, 0)
 }
 
+// TestNextBestAfterFullUpstream guards against a refusal because the nearest upstream is known to have no
+// room, while one in another zone has some.
+func TestNextBestAfterFullUpstream(t *testing.T) {
+	c := qt.New(t)
+	clock := &gateFakeClock{}
+	near := startGate(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(HeaderRetryAfter, "60000")
+		Refuse(w, core.Overloaded, "scripted")
+	})
+	far := startGate(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Signed", "true")
+		w.WriteHeader(http.StatusOK)
+	})
+	rig := newEntryRig(t, func(config *EntryConfig) {
+		config.Dialect = fakeDialect{}
+		config.NewBudget = func(_ core.ServiceName, now time.Time) core.RetryBudget {
+			return retry.NewWindowBudget(retry.WindowBudgetConfig{Span: time.Second}, now)
+		}
+		config.Clock = fixedClock{base: time.Now(), clock: clock}
+	}, gateHost("near", near), otherZoneHost("far", far))
+	for i := range 5 {
+		// The backoff of the refusal has passed, but not the time for which the upstream is full.
+		clock.ahead.Store(int64(time.Duration(i) * 190 * time.Millisecond))
+		request := rig.request("GET", "/lookup", "")
+		request.Header.Set("X-Wait", "5000")
+		c.Assert(rig.do(request).status, qt.Equals, http.StatusOK, qt.Commentf("request %d", i))
+	}
+}
+
 // TestFullUpstreamLeavesOthers guards against refusals of requests that an upstream has room for, because
 // the one that seems best has none, and against requests that ask every full upstream.
 func TestFullUpstreamLeavesOthers(t *testing.T) {
