--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -113,17 +113,17 @@
 }
 
 // add is Returns.Add.
-func (r *returns) add(path string, deadline, first time.Time) {
+func (r *returns) add(key room.ReturnKey, first room.FirstAttempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.returns.Add(path, deadline, first)
+	r.returns.Add(key, first)
 }
 
 // take is Returns.Take.
-func (r *returns) take(path string, deadline time.Time) (time.Time, bool) {
+func (r *returns) take(key room.ReturnKey, deadline time.Time) (room.FirstAttempt, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.returns.Take(path, deadline)
+	return r.returns.Take(key, deadline)
 }
 
 // full is a room.Full for concurrent use.
@@ -133,17 +133,24 @@
 }
 
 // record is Full.Record.
-func (f *full) record(now time.Time, route core.RouteName, host core.HostName, roomAfter time.Duration) {
+func (f *full) record(now time.Time, key room.FullKey, host core.HostName, roomAfter time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.full.Record(now, route, host, roomAfter)
+	f.full.Record(now, key, host, roomAfter)
 }
 
-// roomAfter is Full.RoomAfter.
-func (f *full) roomAfter(now time.Time, route core.RouteName, host core.HostName) time.Duration {
+// forget is Full.Forget.
+func (f *full) forget(key room.FullKey, host core.HostName) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.full.RoomAfter(now, route, host)
+	f.full.Forget(key, host)
+}
+
+// withoutRoom is Full.WithoutRoom.
+func (f *full) withoutRoom(now time.Time, key room.FullKey, left time.Duration, asks bool, hosts []core.HostName) ([]core.HostName, time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.full.WithoutRoom(now, key, left, asks, hosts)
 }
 
 // NewEntry returns an entry that is ready to serve requests.
