proxy: keep keys and tenants in trailers at the entry

A chunked request with announced trailers passed API keys, tenants and Verbenaway-Tenant on to upstreams. Where requests need keys, the entry removes them from the announcement, and from the values at the end of the body.

With a Dialect and no keys, a caller that set Verbenaway-Tenant was refused as of another region. The header is dropped there now.

--- a/io/proxy/buffers.go
+++ b/io/proxy/buffers.go
@@ -100,6 +100,8 @@
 	// onRead is called with the number of bytes of each read, and with whether the attempt goes
 	// to another region.
 	onRead func(bytes int, otherRegion bool)
+	// onEnd is called at the end of the body, when its trailers are known; nil if nothing is to be done.
+	onEnd func()
 	// readMu is held during a read of body.
 	readMu sync.Mutex
 	// mu guards the fields below.
@@ -195,6 +197,9 @@
 	switch {
 	case errors.Is(err, io.EOF):
 		s.isAtEnd = true
+		if s.onEnd != nil {
+			s.onEnd()
+		}
 	case err != nil:
 		s.err = err
 	}
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -269,6 +269,7 @@
 			body:   c.request.Body,
 			onRead: c.recordSentBytes,
 		}
+		c.removeTrailerIdentity()
 		// Without full duplex, the server would read the rest of the body before it sends
 		// an answer that comes earlier.
 		_ = c.reply.control.EnableFullDuplex()
--- a/io/proxy/entry_tenant.go
+++ b/io/proxy/entry_tenant.go
@@ -8,12 +8,17 @@
 )
 
 // identifyTenant returns the tenant of the request, "" if it has none. Where requests need API keys,
-// the key alone decides, on open routes too; otherwise callers name their tenant themselves.
+// the key alone decides, on open routes too; otherwise callers name their tenant themselves. With a
+// Dialect they cannot: HeaderTenant is no header of theirs.
 func (c *call) identifyTenant() core.TenantName {
+	dialect := c.entry.config.Dialect
 	if c.view.keys == nil {
+		if dialect != nil {
+			return ""
+		}
 		return core.TenantName(firstValue(c.request.Header, keyTenant))
 	}
-	key, ok := c.entry.config.Dialect.APIKey(c.request.Header)
+	key, ok := dialect.APIKey(c.request.Header)
 	if !ok {
 		return ""
 	}
@@ -42,6 +47,9 @@
 // key. The gatekeeper passes it on to the upstream.
 func (c *call) setIdentity() {
 	if c.view.keys == nil {
+		if c.entry.config.Dialect != nil {
+			delete(c.header, keyTenant)
+		}
 		return
 	}
 	c.entry.config.Dialect.RemoveIdentity(c.header)
@@ -51,6 +59,22 @@
 	}
 }
 
+// removeTrailerIdentity keeps API keys and tenants in trailers of the stream from upstreams: their
+// announcement now, and the trailers at the end of the body, when the server adds them. Ones that are not
+// announced at all are not forwarded.
+func (c *call) removeTrailerIdentity() {
+	trailer := c.request.Trailer
+	if c.view.keys == nil || trailer == nil {
+		return
+	}
+	remove := func() {
+		c.entry.config.Dialect.RemoveIdentity(trailer)
+		delete(trailer, keyTenant)
+	}
+	remove()
+	c.stream.onEnd = remove
+}
+
 // takeQuota counts the request towards the quota of its tenant. An early request that is not going to be
 // started is counted when the server has read it.
 func (c *call) takeQuota() (core.ErrorKind, string) {
