quota: the newest list of hosts wins; the ring comes before the tenant

Refresh read the hosts before it took the mutex, so that a stale ring could win and stay. A mutex of its own is now held from the reading to the storing, and the ring is made outside the mutex of the keeper. Take gets the ring before it locks the tenant: await made a first ring while it held that mutex, which Statuses locks in the other order.

TestRefreshKeepsOrder and TestRingBeforeTenant failed before.

--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -54,7 +54,11 @@
 	config    Config
 	startedAt time.Time
 	ring      atomic.Pointer[quota.Ring]
+	// refreshMu is held from reading the hosts to storing their ring, so that no older list of hosts
+	// wins. It is locked before mu.
+	refreshMu sync.Mutex
 
+	// mu is locked before the mutex of a tenant, never while one is held.
 	mu      sync.RWMutex
 	tenants map[core.TenantName]*tenant
 	outage  quota.Outage
@@ -101,18 +105,20 @@
 	if !k.config.Bounds.IsSet() {
 		return
 	}
+	k.refreshMu.Lock()
+	defer k.refreshMu.Unlock()
 	hosts := k.config.Hosts()
 	if len(hosts) == 0 {
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	last := k.ring.Load()
 	if last != nil && last.HasSameHosts(hosts) {
 		return
 	}
 	if last == nil {
+		k.mu.Lock()
 		k.contactSince = k.config.ContactSince()
+		k.mu.Unlock()
 	}
 	k.ring.Store(quota.NewRing(k.config.Clock.Now(), k.config.Self, hosts, last))
 }
@@ -135,6 +141,8 @@
 		}
 	}
 	t := k.tenant(name)
+	// The mutex of the tenant must not be held while a first ring is made.
+	ring := k.currentRing()
 	t.mu.Lock()
 	t.account.Observe(now)
 	if t.account.Spend(now) {
@@ -144,7 +152,7 @@
 			IsWithin: true,
 		}
 	}
-	decision := k.await(now, name, spec, t)
+	decision := k.await(now, name, spec, ring, t)
 	if decision.IsWithin {
 		t.counts.taken++
 	} else {
@@ -203,8 +211,7 @@
 
 // await gets a permit from the granters. The caller holds the mutex of the tenant, which is released
 // while it waits.
-func (k *Keeper) await(now time.Time, name core.TenantName, spec core.QuotaSpec, t *tenant) core.QuotaDecision {
-	ring := k.currentRing()
+func (k *Keeper) await(now time.Time, name core.TenantName, spec core.QuotaSpec, ring *quota.Ring, t *tenant) core.QuotaDecision {
 	if ring == nil {
 		return core.QuotaDecision{}
 	}
@@ -355,10 +362,18 @@
 	ring := k.currentRing()
 	since := k.config.ContactSince()
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	if ring == nil || !since.After(k.contactSince) {
+	isCurrent := !since.After(k.contactSince)
+	k.mu.Unlock()
+	if ring == nil || isCurrent {
 		return ring
 	}
+	k.refreshMu.Lock()
+	defer k.refreshMu.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !since.After(k.contactSince) {
+		return k.ring.Load()
+	}
 	k.contactSince = since
 	if !k.outage.IsConfirmedAt(since) {
 		k.ring.Store(k.ring.Load().Rejoined(k.config.Clock.Now()))
--- a/io/quota/quota_test.go
+++ b/io/quota/quota_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -223,6 +224,68 @@
 	c.Assert(f.take(alone, 100), qt.Equals, 0)
 }
 
+// newKeeperWithHosts returns a keeper of a tenant with a quota, and its journal.
+func newKeeperWithHosts(t *testing.T, hosts func() []core.Host) (*Keeper, *fakeJournal) {
+	journal := &fakeJournal{}
+	return New(Config{
+		Self: core.Host{
+			Name: "10.0.0.1:80",
+		},
+		Config: newFakeConfig(1, core.QuotaSpec{
+			RequestsPerSecond: 20,
+		}),
+		Hosts:        hosts,
+		ContactAge:   func() time.Duration { return 0 },
+		ContactSince: func() time.Time { return time.Time{} },
+		Peers:        unusedPeers{t: t},
+		Clock:        kernel.SystemClock{},
+		Journal:      journal,
+		Bounds:       testBounds,
+	}), journal
+}
+
+// TestRefreshKeepsOrder guards against a list of hosts that wins over one that was read later.
+func TestRefreshKeepsOrder(t *testing.T) {
+	c := qt.New(t)
+	lists := [][]core.Host{{{Name: "10.0.0.1:80"}}, {{Name: "10.0.0.1:80"}, {Name: "10.0.0.2:80"}}}
+	var reads atomic.Int64
+	isRead, goOn := make(chan struct{}), make(chan struct{})
+	keeper, _ := newKeeperWithHosts(t, func() []core.Host {
+		number := reads.Add(1)
+		if number == 1 {
+			close(isRead)
+			<-goOn
+		}
+		return lists[number-1]
+	})
+	var older, newer sync.WaitGroup
+	older.Go(keeper.Refresh)
+	<-isRead
+	newer.Go(keeper.Refresh)
+	// Without the order, the newer list is in force before the older one.
+	time.AfterFunc(50*time.Millisecond, func() { close(goOn) })
+	older.Wait()
+	newer.Wait()
+	c.Assert(keeper.currentRing().Size(), qt.Equals, 2)
+}
+
+// TestRingBeforeTenant guards against a ring that is made while the mutex of a tenant is held, which
+// Statuses locks in the other order.
+func TestRingBeforeTenant(t *testing.T) {
+	c := qt.New(t)
+	var keeper *Keeper
+	isFree := true
+	keeper, _ = newKeeperWithHosts(t, func() []core.Host {
+		tenant := keeper.tenant("tenant0")
+		if isFree = tenant.mu.TryLock(); isFree {
+			tenant.mu.Unlock()
+		}
+		return nil
+	})
+	keeper.Take(time.Now(), "tenant0")
+	c.Assert(isFree, qt.IsTrue)
+}
+
 // unusedPeers fails the test when a message is sent.
 type unusedPeers struct {
 	t *testing.T
