quota: tell refusals beyond the quota from those that nobody decided

Requests were answered 429 and journaled as quotaExceeded though no granter had said so: all unreachable, not yet aware of a new quota, or no daemon known. They are answered 503 suspectView now. Take gets the context of the request: it waits no longer than its deadline, and a caller that left takes no permit.

TestUnknownHosts, TestNoDaemonReachable, TestCallerLeaves and two cases of TestQuotaCounts hold that; TestCallerLeaves hangs if the context is ignored.

--- a/core/tenant.go
+++ b/core/tenant.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"crypto/sha256"
 	"time"
 )
@@ -37,6 +38,9 @@
 type QuotaDecision struct {
 	// IsWithin is true if the request may be served; the request then counts towards the quota.
 	IsWithin bool
+	// IsUnknown is true if a request is refused although nobody has said that it is beyond the quota, as
+	// when no other daemon can be reached or the caller has left.
+	IsUnknown bool
 	// RetryAfter is the time after which a refused request may be within the quota, 0 if unknown.
 	RetryAfter time.Duration
 }
@@ -45,8 +49,9 @@
 // daemons together. It is safe for concurrent use.
 type Quotas interface {
 	// Take counts a request towards the quota of a tenant, unless it is beyond it. It may wait for
-	// other daemons, for a few hundred milliseconds at most.
-	Take(now time.Time, tenant TenantName) QuotaDecision
+	// other daemons, for a few hundred milliseconds at most and not beyond the end of ctx, after which
+	// nothing is counted.
+	Take(ctx context.Context, now time.Time, tenant TenantName) QuotaDecision
 	// Return tells that no upstream has received a request that Take counted. An implementation need
 	// not count it less.
 	Return(now time.Time, tenant TenantName)
--- a/io/proxy/entry_tenant.go
+++ b/io/proxy/entry_tenant.go
@@ -82,9 +82,16 @@
 	if quotas == nil || c.tenant == "" || c.isEarly && !c.idempotent {
 		return "", ""
 	}
-	decision := quotas.Take(c.entry.config.Clock.Now(), c.tenant)
+	decision := quotas.Take(c.ctx, c.entry.config.Clock.Now(), c.tenant)
 	if !decision.IsWithin {
+		if c.ctx.Err() != nil {
+			r := c.interrupted(false)
+			return r.failure.Kind, r.detail
+		}
 		c.retryAfter = decision.RetryAfter
+		if decision.IsUnknown {
+			return core.SuspectView, fmt.Sprintf("no daemon has said whether tenant %s is within its quota", c.tenant)
+		}
 		return core.Limited, fmt.Sprintf("tenant %s is over its quota", c.tenant)
 	}
 	c.countedTenant = c.tenant
--- a/io/proxy/entry_tenant_test.go
+++ b/io/proxy/entry_tenant_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -191,6 +192,9 @@
 	taken    map[core.TenantName]int
 	returned map[core.TenantName]int
 	refuses  map[core.TenantName]bool
+	// isUnknown makes refusals unknown, waits makes them last until the request ends.
+	isUnknown bool
+	waits     bool
 }
 
 func newFakeQuotas() *fakeQuotas {
@@ -201,11 +205,14 @@
 	}
 }
 
-func (q *fakeQuotas) Take(_ time.Time, tenant core.TenantName) core.QuotaDecision {
+func (q *fakeQuotas) Take(ctx context.Context, _ time.Time, tenant core.TenantName) core.QuotaDecision {
+	if q.waits {
+		<-ctx.Done()
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.refuses[tenant] {
-		return core.QuotaDecision{RetryAfter: 300 * time.Millisecond}
+		return core.QuotaDecision{IsUnknown: q.isUnknown, RetryAfter: 300 * time.Millisecond}
 	}
 	q.taken[tenant]++
 	return core.QuotaDecision{IsWithin: true}
@@ -232,6 +239,8 @@
 		headers  []string
 		handlers []upstreamHandler
 		refuses  bool
+		unknown  bool
+		waits    bool
 		kind     core.ErrorKind
 		taken    int
 		returned int
@@ -242,6 +251,8 @@
 		{name: "no upstream", path: "/lookup/a", headers: []string{"X-Key: south-key"}, kind: core.NoUpstream, taken: 1, returned: 1},
 		{name: "no time left", path: "/lookup/a", headers: []string{"X-Key: south-key", "X-Wait: 0"}, handlers: []upstreamHandler{signedHandler}, kind: core.DeadlineBeforeRun},
 		{name: "over the quota", path: "/lookup/a", headers: []string{"X-Key: south-key"}, handlers: []upstreamHandler{signedHandler}, refuses: true, kind: core.Limited},
+		{name: "nobody knows", path: "/lookup/a", headers: []string{"X-Key: south-key"}, handlers: []upstreamHandler{signedHandler}, refuses: true, unknown: true, kind: core.SuspectView},
+		{name: "no time left at the quota", path: "/lookup/a", headers: []string{"X-Key: south-key", "X-Wait: 50"}, handlers: []upstreamHandler{signedHandler}, refuses: true, unknown: true, waits: true, kind: core.DeadlineBeforeRun},
 		{name: "open route", path: "/home/a", handlers: []upstreamHandler{signedHandler}},
 		{name: "open route with key", path: "/home/a", headers: []string{"X-Key: south-key"}, handlers: []upstreamHandler{signedHandler}, taken: 1},
 		{name: "no key", path: "/lookup/a", handlers: []upstreamHandler{signedHandler}, kind: core.Unauthenticated},
@@ -252,6 +263,7 @@
 			c := qt.New(t)
 			quotas := newFakeQuotas()
 			quotas.refuses["south"] = tc.refuses
+			quotas.isUnknown, quotas.waits = tc.unknown, tc.waits
 			rig := newMeshRig(t, withTenants, largeBudget, tc.handlers...)
 			rig.entry.config.Quotas = quotas
 			got := rig.sendAs("GET", tc.path, tc.headers...)
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -133,7 +133,7 @@
 }
 
 // Take implements core.Quotas. It waits for an answer of other daemons if this one has no permit.
-func (k *Keeper) Take(now time.Time, name core.TenantName) core.QuotaDecision {
+func (k *Keeper) Take(ctx context.Context, now time.Time, name core.TenantName) core.QuotaDecision {
 	spec, ok := k.spec(name)
 	if !ok {
 		return core.QuotaDecision{
@@ -145,21 +145,23 @@
 	ring := k.currentRing()
 	t.mu.Lock()
 	t.account.Observe(now)
-	if t.account.Spend(now) {
+	if ctx.Err() == nil && t.account.Spend(now) {
 		t.counts.taken++
 		t.mu.Unlock()
 		return core.QuotaDecision{
 			IsWithin: true,
 		}
 	}
-	decision := k.await(now, name, spec, ring, t)
-	if decision.IsWithin {
+	decision := k.await(ctx, now, name, spec, ring, t)
+	isBeyond := !decision.IsWithin && !decision.IsUnknown
+	switch {
+	case decision.IsWithin:
 		t.counts.taken++
-	} else {
+	case isBeyond:
 		t.counts.refused++
 	}
 	t.mu.Unlock()
-	if !decision.IsWithin {
+	if isBeyond {
 		k.reportRefusal(name, spec, decision)
 	}
 	return decision
@@ -211,15 +213,22 @@
 
 // await gets a permit from the granters. The caller holds the mutex of the tenant, which is released
 // while it waits.
-func (k *Keeper) await(now time.Time, name core.TenantName, spec core.QuotaSpec, ring *quota.Ring, t *tenant) core.QuotaDecision {
+func (k *Keeper) await(ctx context.Context, now time.Time, name core.TenantName, spec core.QuotaSpec, ring *quota.Ring, t *tenant) core.QuotaDecision {
 	if ring == nil {
-		return core.QuotaDecision{}
+		return core.QuotaDecision{
+			IsUnknown: true,
+		}
 	}
 	deadline := now.Add(takeTimeout)
 	granters := ring.Granters(name)
 	t.waiting++
 	defer func() { t.waiting-- }()
 	for {
+		if ctx.Err() != nil {
+			return core.QuotaDecision{
+				IsUnknown: true,
+			}
+		}
 		if t.account.Spend(now) {
 			return core.QuotaDecision{
 				IsWithin: true,
@@ -233,9 +242,9 @@
 			break
 		}
 		if step == quota.StepAsk {
-			k.ask(now, name, t, host, want)
+			k.ask(ctx, now, name, t, host, want)
 		} else {
-			k.awaitAnswer(t)
+			k.awaitAnswer(ctx, t)
 		}
 		now = k.config.Clock.Now()
 	}
@@ -246,32 +255,54 @@
 		}
 	}
 	return core.QuotaDecision{
+		IsUnknown:  isUnknown,
 		RetryAfter: retryAfter,
 	}
 }
 
-// awaitAnswer waits for the next answer of a granter. The caller holds the mutex of the tenant, which is
+// awaitAnswer waits for the next answer of a granter or the end of ctx. The caller holds the mutex of the tenant, which is
 // released meanwhile.
-func (k *Keeper) awaitAnswer(t *tenant) {
+func (k *Keeper) awaitAnswer(ctx context.Context, t *tenant) {
 	if t.answered == nil {
 		t.answered = make(chan struct{})
 	}
 	answered := t.answered
 	t.mu.Unlock()
-	<-answered
+	select {
+	case <-answered:
+	case <-ctx.Done():
+	}
 	t.mu.Lock()
 }
 
-// ask asks a granter for permits. The caller holds the mutex of the tenant, which is released
-// meanwhile.
-func (k *Keeper) ask(now time.Time, name core.TenantName, t *tenant, host core.Host, want int) {
+// ask asks a granter for permits and waits for the answer or the end of ctx. An answer that comes later
+// counts for other requests. The caller holds the mutex of the tenant, which is released meanwhile.
+func (k *Keeper) ask(ctx context.Context, now time.Time, name core.TenantName, t *tenant, host core.Host, want int) {
 	t.mu.Unlock()
+	defer t.mu.Lock()
+	if host.Name == k.config.Self.Name {
+		k.askAndApply(now, name, t, host, want)
+		return
+	}
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		k.askAndApply(now, name, t, host, want)
+	}()
+	select {
+	case <-applied:
+	case <-ctx.Done():
+	}
+}
+
+func (k *Keeper) askAndApply(now time.Time, name core.TenantName, t *tenant, host core.Host, want int) {
 	answer, err := k.askHost(host, core.GrantRequest{
 		Sender: k.config.Self.Name,
 		Tenant: name,
 		Want:   want,
 	})
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.answered != nil {
 		close(t.answered)
 		t.answered = nil
--- a/io/quota/quota_test.go
+++ b/io/quota/quota_test.go
@@ -127,7 +127,7 @@
 	within := 0
 	for range requests {
 		wg.Go(func() {
-			decision := f.keepers[daemon].Take(f.now, "tenant0")
+			decision := f.keepers[daemon].Take(context.Background(), f.now, "tenant0")
 			mu.Lock()
 			defer mu.Unlock()
 			if decision.IsWithin {
@@ -222,6 +222,66 @@
 	}
 	c.Assert(f.take(alone, 100), qt.Equals, 1)
 	c.Assert(f.take(alone, 100), qt.Equals, 0)
+	decision := f.keepers[alone].Take(t.Context(), f.now, "tenant0")
+	c.Assert(decision.IsUnknown, qt.IsTrue)
+	c.Assert(f.journal.events, qt.HasLen, 0)
+}
+
+// TestUnknownHosts refuses a request while no daemon is known, but not because of the quota.
+func TestUnknownHosts(t *testing.T) {
+	c := qt.New(t)
+	keeper, journal := newKeeperWithHosts(t, func() []core.Host { return nil })
+	decision := keeper.Take(t.Context(), time.Now(), "tenant0")
+	c.Assert(decision.IsWithin, qt.IsFalse)
+	c.Assert(decision.IsUnknown, qt.IsTrue)
+	c.Assert(journal.events, qt.HasLen, 0)
+}
+
+// slowPeers answers with a permit once it may.
+type slowPeers struct {
+	goOn chan struct{}
+}
+
+func (p slowPeers) Grant(context.Context, string, core.GrantRequest) (core.GrantAnswer, error) {
+	<-p.goOn
+	return core.GrantAnswer{
+		Granted: 1,
+	}, nil
+}
+
+// TestCallerLeaves guards against a request that waits longer than its caller, whether it asks itself or
+// waits for the answer to another one, and against a permit that it takes.
+func TestCallerLeaves(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFleet(t, 6, core.QuotaSpec{
+		RequestsPerSecond: 20,
+		Burst:             30,
+	})
+	peers := slowPeers{
+		goOn: make(chan struct{}),
+	}
+	var keeper *Keeper
+	for _, candidate := range f.keepers {
+		if status, _ := candidate.Status("tenant0"); !status.IsGranter {
+			keeper = candidate
+		}
+	}
+	keeper.config.Peers = peers
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			c.Check(keeper.Take(ctx, f.now, "tenant0"), qt.Equals, core.QuotaDecision{
+				IsUnknown: true,
+			})
+		})
+	}
+	time.AfterFunc(20*time.Millisecond, cancel)
+	// No granter answers before the callers have left.
+	wg.Wait()
+	close(peers.goOn)
+	c.Assert(keeper.Take(ctx, f.now, "tenant0").IsWithin, qt.IsFalse)
+	c.Assert(keeper.Take(t.Context(), f.now, "tenant0").IsWithin, qt.IsTrue)
 }
 
 // newKeeperWithHosts returns a keeper of a tenant with a quota, and its journal.
@@ -282,7 +342,7 @@
 		}
 		return nil
 	})
-	keeper.Take(time.Now(), "tenant0")
+	keeper.Take(context.Background(), time.Now(), "tenant0")
 	c.Assert(isFree, qt.IsTrue)
 }
 
@@ -322,7 +382,7 @@
 				Bounds:       tc.bounds,
 			})
 			for range 100 {
-				c.Assert(keeper.Take(time.Now(), tc.tenant).IsWithin, qt.IsTrue)
+				c.Assert(keeper.Take(context.Background(), time.Now(), tc.tenant).IsWithin, qt.IsTrue)
 			}
 			c.Assert(keeper.tenants, qt.HasLen, 0)
 			answer, err := keeper.Grant(t.Context(), core.GrantRequest{
@@ -367,7 +427,7 @@
 	b.ReportAllocs()
 	i := 0
 	for b.Loop() {
-		if !keeper.Take(now, names[i%len(names)]).IsWithin {
+		if !keeper.Take(b.Context(), now, names[i%len(names)]).IsWithin {
 			b.Fatal("refused")
 		}
 		i++
