quota: give back the permit of a request that no upstream received

A request refused for capacity used its permit up, so that a tenant below its rate whose requests take two tries was refused as over its quota. The permit goes back to the daemon for the rest of its lifetime, which the decision carries from Take to Return; after it, it is lost as before.

TestBoundUnderFaults has such requests in the model now. TestReturn failed before.

--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -70,14 +70,32 @@
 	return a.demand * math.Exp(-elapsed.Seconds()/demandTime.Seconds())
 }
 
-// Spend uses a permit if there is one.
-func (a *Account) Spend(now time.Time) bool {
+// Spend uses a permit if there is one, and returns the end of its lifetime.
+func (a *Account) Spend(now time.Time) (usableUntil time.Time, ok bool) {
 	if a.permits == 0 || !now.Before(a.usableUntil) {
 		a.permits = 0
-		return false
+		return time.Time{}, false
 	}
 	a.permits--
-	return true
+	return a.usableUntil, true
+}
+
+// GiveBack takes back a permit whose request did not run, unless its lifetime is over.
+func (a *Account) GiveBack(now, usableUntil time.Time) {
+	if now.Before(usableUntil) {
+		a.add(now, usableUntil, 1)
+	}
+}
+
+// add adds permits. All have the shortest of their lifetimes from then on.
+func (a *Account) add(now, usableUntil time.Time, count int) {
+	if a.Permits(now) == 0 {
+		a.permits, a.usableUntil = 0, usableUntil
+	}
+	a.permits += count
+	if usableUntil.Before(a.usableUntil) {
+		a.usableUntil = usableUntil
+	}
 }
 
 // Permits returns the number of permits that can be used.
@@ -171,14 +189,7 @@
 		if isShort {
 			s.notBefore, a.shortUntil = now.Add(shortPause), now.Add(shortTime)
 		}
-		usableUntil := askedAt.Add(PermitLifetime)
-		if a.Permits(now) == 0 {
-			a.permits, a.usableUntil = 0, usableUntil
-		}
-		a.permits += grant.Granted
-		if usableUntil.Before(a.usableUntil) {
-			a.usableUntil = usableUntil
-		}
+		a.add(now, askedAt.Add(PermitLifetime), grant.Granted)
 		return
 	}
 	s.pause = min(max(2*s.pause, minPause), maxPause)
--- a/core/quota/model_test.go
+++ b/core/quota/model_test.go
@@ -109,6 +109,7 @@
 			})
 		w.loss = rapid.SampledFrom([]float64{0, 0.02, 0.3}).Draw(t, "loss")
 		w.duplication = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "duplication")
+		w.returned = rapid.SampledFrom([]float64{0, 0.3, 0.9}).Draw(t, "returned")
 		excess := rapid.SampledFrom([]float64{0.9, 1.5, 5, 30}).Draw(t, "excess")
 		for range 4 {
 			current := drawFault(t, w)
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -39,6 +39,8 @@
 	// loss and duplication are the shares of messages that are lost and delivered twice.
 	loss        float64
 	duplication float64
+	// returned is the part of the requests that do not run and give their permit back.
+	returned float64
 	// ideal serves the same requests from a single bucket, at no delay.
 	ideal        Bucket
 	idealRefused []time.Time
@@ -75,6 +77,7 @@
 	outage    Outage
 	// waiting holds the deadlines of requests that wait for a permit.
 	waiting []time.Time
+	unused  []unusedPermit
 	// asks are the outstanding requests to granters.
 	asks      []pendingAsk
 	askNumber int
@@ -215,6 +218,12 @@
 	n.waiting = append(n.waiting, w.now.Add(PermitLifetime))
 }
 
+// unusedPermit is the permit of a request that does not run, which is given back at a time.
+type unusedPermit struct {
+	at          time.Time
+	usableUntil time.Time
+}
+
 // serve does what Keeper.Take does for all waiting requests.
 func (w *world) serve(n *node) {
 	n.asks = slices.DeleteFunc(n.asks, func(p pendingAsk) bool {
@@ -224,10 +233,24 @@
 		n.account.Fail(w.now, p.host.Name)
 		return true
 	})
+	n.unused = slices.DeleteFunc(n.unused, func(p unusedPermit) bool {
+		if w.now.Before(p.at) {
+			return false
+		}
+		n.account.GiveBack(w.now, p.usableUntil)
+		return true
+	})
 	for len(n.waiting) > 0 {
-		if n.account.Spend(w.now) {
-			w.served = append(w.served, w.now)
+		if usableUntil, ok := n.account.Spend(w.now); ok {
 			n.waiting = n.waiting[1:]
+			if w.returned > 0 && w.random.Float64() < w.returned {
+				n.unused = append(n.unused, unusedPermit{
+					at:          w.now.Add(time.Duration(w.random.Float64() * 1.3 * float64(PermitLifetime))),
+					usableUntil: usableUntil,
+				})
+				continue
+			}
+			w.served = append(w.served, w.now)
 			continue
 		}
 		granters := n.ring.Granters(tenant)
--- a/core/tenant.go
+++ b/core/tenant.go
@@ -41,6 +41,9 @@
 	// IsUnknown is true if a request is refused although nobody has said that it is beyond the quota, as
 	// when no other daemon can be reached or the caller has left.
 	IsUnknown bool
+	// UsableUntil is the end of the lifetime of the permit that the request has used, zero if it has used
+	// none.
+	UsableUntil time.Time
 	// RetryAfter is the time after which a refused request may be within the quota, 0 if unknown.
 	RetryAfter time.Duration
 }
@@ -52,9 +55,9 @@
 	// other daemons, for a few hundred milliseconds at most and not beyond the end of ctx, after which
 	// nothing is counted.
 	Take(ctx context.Context, now time.Time, tenant TenantName) QuotaDecision
-	// Return tells that no upstream has received a request that Take counted. An implementation need
-	// not count it less.
-	Return(now time.Time, tenant TenantName)
+	// Return tells that no upstream has received a request that Take counted with the decision. Another
+	// request may use its permit within the lifetime of the permit.
+	Return(now time.Time, tenant TenantName, decision QuotaDecision)
 }
 
 // RequestPriority returns the rank of a request of a tenant on a route, lower first. It is the same
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -63,6 +63,8 @@
 	stream *streamBody
 	// countedTenant is the tenant towards whose quota the request was counted, "" if it was not.
 	countedTenant core.TenantName
+	// quotaDecision is the one for countedTenant.
+	quotaDecision core.QuotaDecision
 
 	// Changed by the attempts.
 	choice   route.Choice
--- a/io/proxy/entry_tenant.go
+++ b/io/proxy/entry_tenant.go
@@ -94,7 +94,7 @@
 		}
 		return core.Limited, fmt.Sprintf("tenant %s is over its quota", c.tenant)
 	}
-	c.countedTenant = c.tenant
+	c.countedTenant, c.quotaDecision = c.tenant, decision
 	return "", ""
 }
 
@@ -103,6 +103,6 @@
 	if c.countedTenant == "" || c.mayHaveRun || c.receivedAttempts > 0 {
 		return
 	}
-	c.entry.config.Quotas.Return(c.entry.config.Clock.Now(), c.countedTenant)
+	c.entry.config.Quotas.Return(c.entry.config.Clock.Now(), c.countedTenant, c.quotaDecision)
 	c.countedTenant = ""
 }
--- a/io/proxy/entry_tenant_test.go
+++ b/io/proxy/entry_tenant_test.go
@@ -195,6 +195,8 @@
 	// isUnknown makes refusals unknown, waits makes them last until the request ends.
 	isUnknown bool
 	waits     bool
+	// decision is that for requests within the quota, which has to come back.
+	decision core.QuotaDecision
 }
 
 func newFakeQuotas() *fakeQuotas {
@@ -202,6 +204,10 @@
 		taken:    map[core.TenantName]int{},
 		returned: map[core.TenantName]int{},
 		refuses:  map[core.TenantName]bool{},
+		decision: core.QuotaDecision{
+			IsWithin:    true,
+			UsableUntil: time.Now(),
+		},
 	}
 }
 
@@ -215,13 +221,15 @@
 		return core.QuotaDecision{IsUnknown: q.isUnknown, RetryAfter: 300 * time.Millisecond}
 	}
 	q.taken[tenant]++
-	return core.QuotaDecision{IsWithin: true}
+	return q.decision
 }
 
-func (q *fakeQuotas) Return(_ time.Time, tenant core.TenantName) {
+func (q *fakeQuotas) Return(_ time.Time, tenant core.TenantName, decision core.QuotaDecision) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.returned[tenant]++
+	if decision == q.decision {
+		q.returned[tenant]++
+	}
 }
 
 func (q *fakeQuotas) counts(tenant core.TenantName) [2]int {
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -145,11 +145,14 @@
 	ring := k.currentRing()
 	t.mu.Lock()
 	t.account.Observe(now)
-	if ctx.Err() == nil && t.account.Spend(now) {
-		t.counts.taken++
-		t.mu.Unlock()
-		return core.QuotaDecision{
-			IsWithin: true,
+	if ctx.Err() == nil {
+		if usableUntil, isSpent := t.account.Spend(now); isSpent {
+			t.counts.taken++
+			t.mu.Unlock()
+			return core.QuotaDecision{
+				IsWithin:    true,
+				UsableUntil: usableUntil,
+			}
 		}
 	}
 	decision := k.await(ctx, now, name, spec, ring, t)
@@ -167,9 +170,9 @@
 	return decision
 }
 
-// Return implements core.Quotas. A permit is not used again: after its lifetime that would pass the
+// Return implements core.Quotas. A permit is not used again after its lifetime: that would pass the
 // bounds of the quota.
-func (k *Keeper) Return(_ time.Time, name core.TenantName) {
+func (k *Keeper) Return(now time.Time, name core.TenantName, decision core.QuotaDecision) {
 	if _, ok := k.spec(name); !ok {
 		return
 	}
@@ -177,6 +180,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.returned++
+	t.account.GiveBack(now, decision.UsableUntil)
 }
 
 // spec returns the quota of a tenant, false if it has none.
@@ -229,9 +233,10 @@
 				IsUnknown: true,
 			}
 		}
-		if t.account.Spend(now) {
+		if usableUntil, ok := t.account.Spend(now); ok {
 			return core.QuotaDecision{
-				IsWithin: true,
+				IsWithin:    true,
+				UsableUntil: usableUntil,
 			}
 		}
 		if !now.Before(deadline) {
--- a/io/quota/quota_test.go
+++ b/io/quota/quota_test.go
@@ -162,6 +162,24 @@
 	c.Assert(f.keepers[0].Statuses(), qt.DeepEquals, []Status{status})
 }
 
+// TestReturn guards against a permit that is lost though its request did not run, and against one that is
+// used after its lifetime.
+func TestReturn(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFleet(t, 6, core.QuotaSpec{
+		RequestsPerSecond: 20,
+		Burst:             30,
+	})
+	keeper := f.keepers[0]
+	decision := keeper.Take(t.Context(), f.now, "tenant0")
+	c.Assert(decision.IsWithin, qt.IsTrue)
+	c.Assert(f.take(0, 100), qt.Equals, 29)
+	keeper.Return(f.now, "tenant0", decision)
+	c.Assert(f.take(0, 2), qt.Equals, 1)
+	keeper.Return(decision.UsableUntil, "tenant0", decision)
+	c.Assert(f.take(0, 2), qt.Equals, 0)
+}
+
 // TestAllDaemonsTogether sends requests to all daemons at once.
 func TestAllDaemonsTogether(t *testing.T) {
 	c := qt.New(t)
