--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -20,7 +21,8 @@
 	// maxContactAge is the time since the last contact with the store up to which a daemon says that it
 	// has contact.
 	maxContactAge = 2 * time.Second
-	// maxTenants bounds the tenants that are remembered; those without a quota are not.
+	// maxTenants is the number of remembered tenants from which those that no longer have a quota are
+	// forgotten.
 	maxTenants = 20000
 )
 
@@ -207,7 +209,11 @@
 	defer k.mu.Unlock()
 	if t = k.tenants[name]; t == nil {
 		if len(k.tenants) >= maxTenants {
-			clear(k.tenants)
+			// Those with a quota keep their buckets: a new one would be fuller than the quota allows.
+			maps.DeleteFunc(k.tenants, func(name core.TenantName, _ *tenant) bool {
+				_, ok := k.spec(name)
+				return !ok
+			})
 		}
 		t = new(tenant)
 		k.tenants[name] = t
--- a/io/quota/quota_test.go
+++ b/io/quota/quota_test.go
@@ -255,6 +255,18 @@
 	c.Assert(journal.events, qt.HasLen, 0)
 }
 
+// TestManyTenants guards against buckets that are full again because many tenants had a quota before.
+func TestManyTenants(t *testing.T) {
+	c := qt.New(t)
+	keeper, _ := newKeeperWithHosts(t, func() []core.Host { return nil })
+	kept := keeper.tenant("tenant0")
+	for i := range maxTenants {
+		keeper.tenant(core.TenantName(fmt.Sprintf("former%d", i)))
+	}
+	c.Assert(keeper.tenant("tenant0"), qt.Equals, kept)
+	c.Assert(keeper.tenants, qt.HasLen, 2)
+}
+
 // slowPeers answers with a permit once it may.
 type slowPeers struct {
 	goOn chan struct{}
