--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -20,7 +21,8 @@
 	// maxContactAge is the time since the last contact with the store up to which a daemon says that it
 	// has contact.
 	maxContactAge = 2 * time.Second
-	// maxTenants bounds the tenants that are remembered; those without a quota are not.
+	// maxTenants is the number of remembered tenants from which those that no longer have a quota are
+	// forgotten.
 	maxTenants = 20000
 )
 
@@ -54,7 +56,11 @@
 	config    Config
 	startedAt time.Time
 	ring      atomic.Pointer[quota.Ring]
+	// refreshMu is held from reading the hosts to storing their ring, so that no older list of hosts
+	// wins. It is locked before mu.
+	refreshMu sync.Mutex
 
+	// mu is locked before the mutex of a tenant, never while one is held.
 	mu      sync.RWMutex
 	tenants map[core.TenantName]*tenant
 	outage  quota.Outage
@@ -101,18 +107,20 @@
 	if !k.config.Bounds.IsSet() {
 		return
 	}
+	k.refreshMu.Lock()
+	defer k.refreshMu.Unlock()
 	hosts := k.config.Hosts()
 	if len(hosts) == 0 {
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	last := k.ring.Load()
 	if last != nil && last.HasSameHosts(hosts) {
 		return
 	}
 	if last == nil {
+		k.mu.Lock()
 		k.contactSince = k.config.ContactSince()
+		k.mu.Unlock()
 	}
 	k.ring.Store(quota.NewRing(k.config.Clock.Now(), k.config.Self, hosts, last))
 }
@@ -127,7 +135,7 @@
 }
 
 // Take implements core.Quotas. It waits for an answer of other daemons if this one has no permit.
-func (k *Keeper) Take(now time.Time, name core.TenantName) core.QuotaDecision {
+func (k *Keeper) Take(ctx context.Context, now time.Time, name core.TenantName) core.QuotaDecision {
 	spec, ok := k.spec(name)
 	if !ok {
 		return core.QuotaDecision{
@@ -135,31 +143,38 @@
 		}
 	}
 	t := k.tenant(name)
+	// The mutex of the tenant must not be held while a first ring is made.
+	ring := k.currentRing()
 	t.mu.Lock()
 	t.account.Observe(now)
-	if t.account.Spend(now) {
-		t.counts.taken++
-		t.mu.Unlock()
-		return core.QuotaDecision{
-			IsWithin: true,
+	if ctx.Err() == nil {
+		if usableUntil, isSpent := t.account.Spend(now); isSpent {
+			t.counts.taken++
+			t.mu.Unlock()
+			return core.QuotaDecision{
+				IsWithin:    true,
+				UsableUntil: usableUntil,
+			}
 		}
 	}
-	decision := k.await(now, name, spec, t)
-	if decision.IsWithin {
+	decision := k.await(ctx, now, name, spec, ring, t)
+	isBeyond := !decision.IsWithin && !decision.IsUnknown
+	switch {
+	case decision.IsWithin:
 		t.counts.taken++
-	} else {
+	case isBeyond:
 		t.counts.refused++
 	}
 	t.mu.Unlock()
-	if !decision.IsWithin {
+	if isBeyond {
 		k.reportRefusal(name, spec, decision)
 	}
 	return decision
 }
 
-// Return implements core.Quotas. A permit is not used again: after its lifetime that would pass the
+// Return implements core.Quotas. A permit is not used again after its lifetime: that would pass the
 // bounds of the quota.
-func (k *Keeper) Return(_ time.Time, name core.TenantName) {
+func (k *Keeper) Return(now time.Time, name core.TenantName, decision core.QuotaDecision) {
 	if _, ok := k.spec(name); !ok {
 		return
 	}
@@ -167,6 +182,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.counts.returned++
+	t.account.GiveBack(now, decision.UsableUntil)
 }
 
 // spec returns the quota of a tenant, false if it has none.
@@ -193,7 +209,11 @@
 	defer k.mu.Unlock()
 	if t = k.tenants[name]; t == nil {
 		if len(k.tenants) >= maxTenants {
-			clear(k.tenants)
+			// Those with a quota keep their buckets: a new one would be fuller than the quota allows.
+			maps.DeleteFunc(k.tenants, func(name core.TenantName, _ *tenant) bool {
+				_, ok := k.spec(name)
+				return !ok
+			})
 		}
 		t = new(tenant)
 		k.tenants[name] = t
@@ -203,19 +223,26 @@
 
 // await gets a permit from the granters. The caller holds the mutex of the tenant, which is released
 // while it waits.
-func (k *Keeper) await(now time.Time, name core.TenantName, spec core.QuotaSpec, t *tenant) core.QuotaDecision {
-	ring := k.currentRing()
+func (k *Keeper) await(ctx context.Context, now time.Time, name core.TenantName, spec core.QuotaSpec, ring *quota.Ring, t *tenant) core.QuotaDecision {
 	if ring == nil {
-		return core.QuotaDecision{}
+		return core.QuotaDecision{
+			IsUnknown: true,
+		}
 	}
 	deadline := now.Add(takeTimeout)
 	granters := ring.Granters(name)
 	t.waiting++
 	defer func() { t.waiting-- }()
 	for {
-		if t.account.Spend(now) {
+		if ctx.Err() != nil {
 			return core.QuotaDecision{
-				IsWithin: true,
+				IsUnknown: true,
+			}
+		}
+		if usableUntil, ok := t.account.Spend(now); ok {
+			return core.QuotaDecision{
+				IsWithin:    true,
+				UsableUntil: usableUntil,
 			}
 		}
 		if !now.Before(deadline) {
@@ -226,9 +253,9 @@
 			break
 		}
 		if step == quota.StepAsk {
-			k.ask(now, name, t, host, want)
+			k.ask(ctx, now, name, t, host, want)
 		} else {
-			k.awaitAnswer(t)
+			k.awaitAnswer(ctx, t)
 		}
 		now = k.config.Clock.Now()
 	}
@@ -239,32 +266,54 @@
 		}
 	}
 	return core.QuotaDecision{
+		IsUnknown:  isUnknown,
 		RetryAfter: retryAfter,
 	}
 }
 
-// awaitAnswer waits for the next answer of a granter. The caller holds the mutex of the tenant, which is
+// awaitAnswer waits for the next answer of a granter or the end of ctx. The caller holds the mutex of the tenant, which is
 // released meanwhile.
-func (k *Keeper) awaitAnswer(t *tenant) {
+func (k *Keeper) awaitAnswer(ctx context.Context, t *tenant) {
 	if t.answered == nil {
 		t.answered = make(chan struct{})
 	}
 	answered := t.answered
 	t.mu.Unlock()
-	<-answered
+	select {
+	case <-answered:
+	case <-ctx.Done():
+	}
 	t.mu.Lock()
 }
 
-// ask asks a granter for permits. The caller holds the mutex of the tenant, which is released
-// meanwhile.
-func (k *Keeper) ask(now time.Time, name core.TenantName, t *tenant, host core.Host, want int) {
+// ask asks a granter for permits and waits for the answer or the end of ctx. An answer that comes later
+// counts for other requests. The caller holds the mutex of the tenant, which is released meanwhile.
+func (k *Keeper) ask(ctx context.Context, now time.Time, name core.TenantName, t *tenant, host core.Host, want int) {
 	t.mu.Unlock()
+	defer t.mu.Lock()
+	if host.Name == k.config.Self.Name {
+		k.askAndApply(now, name, t, host, want)
+		return
+	}
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		k.askAndApply(now, name, t, host, want)
+	}()
+	select {
+	case <-applied:
+	case <-ctx.Done():
+	}
+}
+
+func (k *Keeper) askAndApply(now time.Time, name core.TenantName, t *tenant, host core.Host, want int) {
 	answer, err := k.askHost(host, core.GrantRequest{
 		Sender: k.config.Self.Name,
 		Tenant: name,
 		Want:   want,
 	})
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.answered != nil {
 		close(t.answered)
 		t.answered = nil
@@ -355,10 +404,18 @@
 	ring := k.currentRing()
 	since := k.config.ContactSince()
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	if ring == nil || !since.After(k.contactSince) {
+	isCurrent := !since.After(k.contactSince)
+	k.mu.Unlock()
+	if ring == nil || isCurrent {
 		return ring
 	}
+	k.refreshMu.Lock()
+	defer k.refreshMu.Unlock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !since.After(k.contactSince) {
+		return k.ring.Load()
+	}
 	k.contactSince = since
 	if !k.outage.IsConfirmedAt(since) {
 		k.ring.Store(k.ring.Load().Rejoined(k.config.Clock.Now()))
--- a/io/quota/quota_test.go
+++ b/io/quota/quota_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -126,7 +127,7 @@
 	within := 0
 	for range requests {
 		wg.Go(func() {
-			decision := f.keepers[daemon].Take(f.now, "tenant0")
+			decision := f.keepers[daemon].Take(context.Background(), f.now, "tenant0")
 			mu.Lock()
 			defer mu.Unlock()
 			if decision.IsWithin {
@@ -161,6 +162,24 @@
 	c.Assert(f.keepers[0].Statuses(), qt.DeepEquals, []Status{status})
 }
 
+// TestReturn guards against a permit that is lost though its request did not run, and against one that is
+// used after its lifetime.
+func TestReturn(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFleet(t, 6, core.QuotaSpec{
+		RequestsPerSecond: 20,
+		Burst:             30,
+	})
+	keeper := f.keepers[0]
+	decision := keeper.Take(t.Context(), f.now, "tenant0")
+	c.Assert(decision.IsWithin, qt.IsTrue)
+	c.Assert(f.take(0, 100), qt.Equals, 29)
+	keeper.Return(f.now, "tenant0", decision)
+	c.Assert(f.take(0, 2), qt.Equals, 1)
+	keeper.Return(decision.UsableUntil, "tenant0", decision)
+	c.Assert(f.take(0, 2), qt.Equals, 0)
+}
+
 // TestAllDaemonsTogether sends requests to all daemons at once.
 func TestAllDaemonsTogether(t *testing.T) {
 	c := qt.New(t)
@@ -221,6 +240,140 @@
 	}
 	c.Assert(f.take(alone, 100), qt.Equals, 1)
 	c.Assert(f.take(alone, 100), qt.Equals, 0)
+	decision := f.keepers[alone].Take(t.Context(), f.now, "tenant0")
+	c.Assert(decision.IsUnknown, qt.IsTrue)
+	c.Assert(f.journal.events, qt.HasLen, 0)
+}
+
+// TestUnknownHosts refuses a request while no daemon is known, but not because of the quota.
+func TestUnknownHosts(t *testing.T) {
+	c := qt.New(t)
+	keeper, journal := newKeeperWithHosts(t, func() []core.Host { return nil })
+	decision := keeper.Take(t.Context(), time.Now(), "tenant0")
+	c.Assert(decision.IsWithin, qt.IsFalse)
+	c.Assert(decision.IsUnknown, qt.IsTrue)
+	c.Assert(journal.events, qt.HasLen, 0)
+}
+
+// TestManyTenants guards against buckets that are full again because many tenants had a quota before.
+func TestManyTenants(t *testing.T) {
+	c := qt.New(t)
+	keeper, _ := newKeeperWithHosts(t, func() []core.Host { return nil })
+	kept := keeper.tenant("tenant0")
+	for i := range maxTenants {
+		keeper.tenant(core.TenantName(fmt.Sprintf("former%d", i)))
+	}
+	c.Assert(keeper.tenant("tenant0"), qt.Equals, kept)
+	c.Assert(keeper.tenants, qt.HasLen, 2)
+}
+
+// slowPeers answers with a permit once it may.
+type slowPeers struct {
+	goOn chan struct{}
+}
+
+func (p slowPeers) Grant(context.Context, string, core.GrantRequest) (core.GrantAnswer, error) {
+	<-p.goOn
+	return core.GrantAnswer{
+		Granted: 1,
+	}, nil
+}
+
+// TestCallerLeaves guards against a request that waits longer than its caller, whether it asks itself or
+// waits for the answer to another one, and against a permit that it takes.
+func TestCallerLeaves(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFleet(t, 6, core.QuotaSpec{
+		RequestsPerSecond: 20,
+		Burst:             30,
+	})
+	peers := slowPeers{
+		goOn: make(chan struct{}),
+	}
+	var keeper *Keeper
+	for _, candidate := range f.keepers {
+		if status, _ := candidate.Status("tenant0"); !status.IsGranter {
+			keeper = candidate
+		}
+	}
+	keeper.config.Peers = peers
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			c.Check(keeper.Take(ctx, f.now, "tenant0"), qt.Equals, core.QuotaDecision{
+				IsUnknown: true,
+			})
+		})
+	}
+	time.AfterFunc(20*time.Millisecond, cancel)
+	// No granter answers before the callers have left.
+	wg.Wait()
+	close(peers.goOn)
+	c.Assert(keeper.Take(ctx, f.now, "tenant0").IsWithin, qt.IsFalse)
+	c.Assert(keeper.Take(t.Context(), f.now, "tenant0").IsWithin, qt.IsTrue)
+}
+
+// newKeeperWithHosts returns a keeper of a tenant with a quota, and its journal.
+func newKeeperWithHosts(t *testing.T, hosts func() []core.Host) (*Keeper, *fakeJournal) {
+	journal := &fakeJournal{}
+	return New(Config{
+		Self: core.Host{
+			Name: "10.0.0.1:80",
+		},
+		Config: newFakeConfig(1, core.QuotaSpec{
+			RequestsPerSecond: 20,
+		}),
+		Hosts:        hosts,
+		ContactAge:   func() time.Duration { return 0 },
+		ContactSince: func() time.Time { return time.Time{} },
+		Peers:        unusedPeers{t: t},
+		Clock:        kernel.SystemClock{},
+		Journal:      journal,
+		Bounds:       testBounds,
+	}), journal
+}
+
+// TestRefreshKeepsOrder guards against a list of hosts that wins over one that was read later.
+func TestRefreshKeepsOrder(t *testing.T) {
+	c := qt.New(t)
+	lists := [][]core.Host{{{Name: "10.0.0.1:80"}}, {{Name: "10.0.0.1:80"}, {Name: "10.0.0.2:80"}}}
+	var reads atomic.Int64
+	isRead, goOn := make(chan struct{}), make(chan struct{})
+	keeper, _ := newKeeperWithHosts(t, func() []core.Host {
+		number := reads.Add(1)
+		if number == 1 {
+			close(isRead)
+			<-goOn
+		}
+		return lists[number-1]
+	})
+	var older, newer sync.WaitGroup
+	older.Go(keeper.Refresh)
+	<-isRead
+	newer.Go(keeper.Refresh)
+	// Without the order, the newer list is in force before the older one.
+	time.AfterFunc(50*time.Millisecond, func() { close(goOn) })
+	older.Wait()
+	newer.Wait()
+	c.Assert(keeper.currentRing().Size(), qt.Equals, 2)
+}
+
+// TestRingBeforeTenant guards against a ring that is made while the mutex of a tenant is held, which
+// Statuses locks in the other order.
+func TestRingBeforeTenant(t *testing.T) {
+	c := qt.New(t)
+	var keeper *Keeper
+	isFree := true
+	keeper, _ = newKeeperWithHosts(t, func() []core.Host {
+		tenant := keeper.tenant("tenant0")
+		if isFree = tenant.mu.TryLock(); isFree {
+			tenant.mu.Unlock()
+		}
+		return nil
+	})
+	keeper.Take(context.Background(), time.Now(), "tenant0")
+	c.Assert(isFree, qt.IsTrue)
 }
 
 // unusedPeers fails the test when a message is sent.
@@ -259,7 +412,7 @@
 				Bounds:       tc.bounds,
 			})
 			for range 100 {
-				c.Assert(keeper.Take(time.Now(), tc.tenant).IsWithin, qt.IsTrue)
+				c.Assert(keeper.Take(context.Background(), time.Now(), tc.tenant).IsWithin, qt.IsTrue)
 			}
 			c.Assert(keeper.tenants, qt.HasLen, 0)
 			answer, err := keeper.Grant(t.Context(), core.GrantRequest{
@@ -304,7 +457,7 @@
 	b.ReportAllocs()
 	i := 0
 	for b.Loop() {
-		if !keeper.Take(now, names[i%len(names)]).IsWithin {
+		if !keeper.Take(b.Context(), now, names[i%len(names)]).IsWithin {
 			b.Fatal("refused")
 		}
 		i++
