proxy: connections stay counted as long as they are in service

It now goes through routing like any other request. A connection counted as idle when its handler had ended, before its answer was sent, and could be closed with the answer of a request that was run; it now stays in service until the server calls it idle. The head of an early call was drawn twice and returned only once no early call was left, so that a steady pipeline grew without bound; each head is now drawn once and returned with its request.

--- /dev/null
+++ b/io/proxy/budget_test.go
@@ -0,0 +1,152 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"verbenaway/io/limit"
+)
+
+// heldListener passes its connections through wrap.
+type heldListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+// Accept implements net.Listener.
+func (l *heldListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(conn), nil
+}
+
+// heldConn reports its first write and waits with all until proceed is closed.
+type heldConn struct {
+	net.Conn
+	writes  chan struct{}
+	proceed chan struct{}
+}
+
+// Write implements net.Conn.
+func (c *heldConn) Write(p []byte) (int, error) {
+	select {
+	case c.writes <- struct{}{}:
+	default:
+	}
+	<-c.proceed
+	return c.Conn.Write(p)
+}
+
+// dialBudget is dialPipelined with a budget. A nil wrap leaves the connections as they are.
+func dialBudget(t *testing.T, budget *limit.Budget, wrap func(net.Conn) net.Conn, gate http.HandlerFunc) net.Conn {
+	t.Helper()
+	rig := newEntryRig(t, nil, gateHost("a", startGate(t, gate)))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	if wrap != nil {
+		listener = &heldListener{
+			Listener: listener,
+			wrap:     wrap,
+		}
+	}
+	server := rig.entry.Server()
+	go func() {
+		_ = server.Serve(&PipelineListener{
+			Listener: &limit.Listener{
+				Listener:     listener,
+				Budget:       budget,
+				MaxHeadBytes: rig.entry.MaxHeadBytes,
+			},
+			Entry: rig.entry,
+		})
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, conn.SetDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	t.Cleanup(func() {
+		_ = conn.Close()
+		_ = server.Close()
+	})
+	return conn
+}
+
+// crowdOut makes connections of listeners give way to outgoing ones.
+func crowdOut(budget *limit.Budget) {
+	budget.Configure(limit.Config{Conns: 1})
+	_, _ = budget.Dialer(func(context.Context, string, string) (net.Conn, error) {
+		client, _ := net.Pipe()
+		return client, nil
+	})(context.Background(), "", "")
+}
+
+// TestBudgetGeneralOptions guards against a request that the server answers without a handler, after
+// which the connection counts as one in service for good and no longer ends.
+func TestBudgetGeneralOptions(t *testing.T) {
+	c := qt.New(t)
+	budget := limit.NewBudget(limit.Config{})
+	conn := dialBudget(t, budget, nil, func(http.ResponseWriter, *http.Request) {})
+	_, err := io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: mesh.test\r\n\r\n"+rawRequest("GET", "/lookup/1", ""))
+	c.Assert(err, qt.IsNil)
+	statuses := readStatuses(c, conn, 2)
+	c.Assert(statuses[1], qt.Equals, http.StatusOK)
+	crowdOut(budget)
+	waitUntil(t, func() bool {
+		incoming, _ := budget.Conns()
+		return incoming == 0
+	})
+}
+
+// TestBudgetUnsentAnswer guards against a connection that counts as unused once its handler has ended,
+// and is closed with an answer that was not sent.
+func TestBudgetUnsentAnswer(t *testing.T) {
+	c := qt.New(t)
+	budget := limit.NewBudget(limit.Config{})
+	held := &heldConn{
+		writes:  make(chan struct{}, 1),
+		proceed: make(chan struct{}),
+	}
+	conn := dialBudget(t, budget, func(conn net.Conn) net.Conn {
+		held.Conn = conn
+		return held
+	}, func(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, r.URL.Path) })
+	_, err := io.WriteString(conn, rawRequest("GET", "/lookup/1", ""))
+	c.Assert(err, qt.IsNil)
+	<-held.writes
+	crowdOut(budget)
+	close(held.proceed)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+}
+
+// TestBudgetOfPipeline guards against memory that stays drawn for requests that were answered while
+// others follow.
+func TestBudgetOfPipeline(t *testing.T) {
+	const requests = 400
+	c := qt.New(t)
+	budget := limit.NewBudget(limit.Config{})
+	conn := dialBudget(t, budget, nil, func(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, r.URL.Path) })
+	go func() { _, _ = io.WriteString(conn, strings.Repeat(rawRequest("GET", "/lookup/1", ""), requests)) }()
+	reader := bufio.NewReader(conn)
+	most := int64(0)
+	for range requests {
+		response, err := http.ReadResponse(reader, nil)
+		c.Assert(err, qt.IsNil)
+		_, err = io.Copy(io.Discard, response.Body)
+		c.Assert(err, qt.IsNil)
+		most = max(most, budget.Bytes())
+	}
+	c.Assert(most < 4*maxReadAheadBytes, qt.IsTrue, qt.Commentf("%d bytes", most))
+	waitUntil(t, func() bool { return budget.Bytes() == 0 })
+}
--- a/io/proxy/early_conn.go
+++ b/io/proxy/early_conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -94,7 +95,9 @@
 	bodyLeft int64
 	// searchedBytes is the number of leading bytes of readAhead without the end of a head.
 	searchedBytes int
-	// headBytes is the memory that the heads of the requests in service take.
+	// headCosts is the memory that each head of the requests in service takes, in the order of the
+	// requests and with those of early calls; headBytes is their sum.
+	headCosts []int64
 	headBytes int64
 	// isPassThrough is set once the boundaries of requests are unknown; all bytes are then
 	// passed through.
@@ -294,7 +297,8 @@
 		return
 	}
 	head := c.readAhead[:end]
-	if !c.drawHead(head) {
+	// The head of an early call was drawn when the call started.
+	if c.earlyBytes == 0 && !c.drawHead(head) {
 		c.refuseHead(http.StatusServiceUnavailable)
 		return
 	}
@@ -363,11 +367,22 @@
 	if !c.limited.CanAfford(cost) {
 		return false
 	}
+	c.headCosts = append(c.headCosts, cost)
 	c.headBytes += cost
 	c.account()
 	return true
 }
 
+// returnHead returns the memory of the head at a position in headCosts. The caller holds mu.
+func (c *callerConn) returnHead(position int) {
+	if position < 0 || position >= len(c.headCosts) {
+		return
+	}
+	c.headBytes -= c.headCosts[position]
+	c.headCosts = slices.Delete(c.headCosts, position, position+1)
+	c.account()
+}
+
 // passThrough lets the server find the boundaries of the requests. The caller holds mu.
 func (c *callerConn) passThrough() {
 	c.account()
@@ -384,9 +399,9 @@
 	}
 	phase := limit.Idle
 	switch {
-	case c.isServing() && c.bodyLeft > 0:
+	case c.isAnswering() && c.bodyLeft > 0:
 		phase = limit.Uploading
-	case c.isServing():
+	case c.isAnswering():
 		phase = limit.Serving
 	case len(c.readAhead) > 0:
 		phase = limit.Heading
@@ -470,13 +485,12 @@
 			return
 		}
 		end += len(headerEnd)
-		before := c.headBytes
 		if !c.drawHead(rest[:end]) {
 			return
 		}
 		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(rest[:end])))
 		if err != nil || request.ContentLength != 0 || request.Method != http.MethodGet {
-			c.headBytes = before
+			c.returnHead(len(c.headCosts) - 1)
 			return
 		}
 		c.hasLastRequest = request.Close
@@ -519,9 +533,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isHandling = false
-	if len(c.earlyCalls) == 0 {
-		c.headBytes = 0
+	if len(c.earlyCalls) == 0 && !c.isHandlerDue() {
+		c.headCosts, c.headBytes = nil, 0
 	}
+	c.returnHead(0)
 	c.account()
 	c.changed.Broadcast()
 }
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -185,6 +185,8 @@
 		MaxHeaderBytes:    maxServerHeaderBytes,
 		ConnContext:       withCallerConn,
 		ConnState:         observeConnState,
+		// A callerConn counts on a handler for each request.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
--- a/io/proxy/server_answer.go
+++ b/io/proxy/server_answer.go
@@ -15,13 +15,22 @@
 // idle once an answer was sent completely.
 func observeConnState(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
-		c.hasHandler.Store(false)
-		if c.limited != nil {
-			c.limited.End()
-		}
+		c.endAnswer()
 	}
 }
 
+// endAnswer records that the answer of a handler was sent completely.
+func (c *callerConn) endAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hasHandler.Store(false)
+	if c.limited != nil {
+		c.limited.End()
+	}
+	c.account()
+	c.changed.Broadcast()
+}
+
 // Write implements net.Conn. What the server sends without a handler is its own answer to bytes that
 // it does not accept as a request.
 func (c *callerConn) Write(p []byte) (int, error) {
