--- a/io/limit/budget.go
+++ b/io/limit/budget.go
@@ -33,8 +33,7 @@
 	// minScannedBytes is the queue below which bytes that wait in the kernel do not count. Every
 	// connection in use has some at times.
 	minScannedBytes = 64 << 10
-	// stalledTime is the time without progress after which an answer counts as one that is not read, and
-	// a body as one that does not come.
+	// stalledTime is the time without progress after which an answer counts as one that is not read.
 	stalledTime = time.Second
 )
 
@@ -45,7 +44,8 @@
 	Bytes int64
 	// Conns bounds the number of connections, outgoing ones included; 0 means no bound.
 	Conns int
-	// HeadTimeout bounds the time from the first byte of a head to its end; 0 means no bound.
+	// HeadTimeout bounds the time from the first byte of a head to its end; 0 means no bound. A body of
+	// which nothing came for as long is among the first to go when connections run short.
 	HeadTimeout time.Duration
 }
 
--- a/io/limit/conn.go
+++ b/io/limit/conn.go
@@ -78,6 +78,8 @@
 	unread int64
 	// writingSince is when the write in progress began, zero if there is none.
 	writingSince time.Time
+	// readingSince is when the read in progress began, zero if there is none.
+	readingSince time.Time
 	isRemoved    bool
 	// closing is what the connection held when it was closed for lack of something. The mutex of the
 	// budget guards it.
@@ -104,7 +106,14 @@
 
 // Read implements net.Conn. It fails with io.EOF once a head is too large.
 func (c *Conn) Read(p []byte) (int, error) {
+	now := time.Now()
+	c.mu.Lock()
+	c.readingSince = now
+	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.readingSince = time.Time{}
+	c.mu.Unlock()
 	if n > 0 && !c.recordRead(p[:n]) {
 		c.budget.Counters.Heads.Add(1)
 		return 0, io.EOF
@@ -318,6 +327,13 @@
 	return !c.writingSince.IsZero() && now.Sub(c.writingSince) > stalledTime
 }
 
+// isStarved reports whether we wait for bytes that do not come. A body that we do not read, since the
+// upstream is slow, does not count. The caller holds mu.
+func (c *Conn) isStarved(now time.Time) bool {
+	timeout := c.budget.config.Load().HeadTimeout
+	return timeout > 0 && !c.readingSince.IsZero() && now.Sub(c.readingSince) > timeout
+}
+
 // yield is what a connection may yield, the lowest first.
 type yield struct {
 	rank  int
@@ -336,7 +352,7 @@
 	switch {
 	case c.phase <= Heading && c.served == 0:
 		y.rank = 0
-	case c.phase == Uploading && now.Sub(c.since) > stalledTime:
+	case c.phase == Uploading && c.isStarved(now):
 		y.rank = 1
 	case c.isStalled(now):
 		y.rank = 2
--- a/io/proxy/budget_test.go
+++ b/io/proxy/budget_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -100,8 +101,9 @@
 	c.Assert(err, qt.IsNil)
 	statuses := readStatuses(c, conn, 2)
 	c.Assert(statuses[1], qt.Equals, http.StatusOK)
-	crowdOut(budget)
 	waitUntil(t, func() bool {
+		// The answer arrives before the server calls the connection idle.
+		crowdOut(budget)
 		incoming, _ := budget.Conns()
 		return incoming == 0
 	})
@@ -150,3 +152,25 @@
 	c.Assert(most < 4*maxReadAheadBytes, qt.IsTrue, qt.Commentf("%d bytes", most))
 	waitUntil(t, func() bool { return budget.Bytes() == 0 })
 }
+
+// TestBudgetOfEarlyAnswers guards against answers of early calls that are buffered and not counted.
+func TestBudgetOfEarlyAnswers(t *testing.T) {
+	const size, early = 100 << 10, 4
+	c := qt.New(t)
+	budget := limit.NewBudget(limit.Config{})
+	blocked := make(chan struct{})
+	proceed := sync.OnceFunc(func() { close(blocked) })
+	conn := dialBudget(t, budget, nil, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/lookup/first" {
+			<-blocked
+		}
+		_, _ = w.Write(make([]byte, size))
+	})
+	t.Cleanup(proceed)
+	_, err := io.WriteString(conn, rawRequest("GET", "/lookup/first", "")+strings.Repeat(rawRequest("GET", "/lookup/1", ""), early))
+	c.Assert(err, qt.IsNil)
+	waitUntil(t, func() bool { return budget.Bytes() >= early*size })
+	proceed()
+	c.Assert(readStatuses(c, conn, 1+early), qt.HasLen, 1+early)
+	waitUntil(t, func() bool { return budget.Bytes() == 0 })
+}
--- a/io/proxy/early_call.go
+++ b/io/proxy/early_call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 )
 
 // maxEarlyAnswerBytes bounds the buffered answer of an early call. The handler of a larger
@@ -29,6 +30,8 @@
 	// status is 0 before WriteHeader and once it was written to serverWriter.
 	status   int
 	buffered []byte
+	// held is the memory that buffered has drawn.
+	held atomic.Int64
 	// serverWriter is the ResponseWriter of the server; nil until join.
 	serverWriter http.ResponseWriter
 	// isDeferred means that the request must wait until the server reads it.
@@ -46,11 +49,14 @@
 		conn:    conn,
 		request: request.WithContext(ctx),
 		cancel:  cancel,
-		release: sync.OnceFunc(e.endRequest),
 		done:    make(chan struct{}),
 		header:  http.Header{},
 	}
 	call.changed.L = &call.mu
+	call.release = sync.OnceFunc(func() {
+		call.returnHeld()
+		e.endRequest()
+	})
 	context.AfterFunc(ctx, call.broadcast)
 	go call.run(e)
 	return call
@@ -58,6 +64,12 @@
 
 func (c *earlyCall) run(e *Entry) {
 	defer close(c.done)
+	defer func() {
+		if c.request.Context().Err() != nil {
+			// It may have been released before its last write.
+			c.returnHeld()
+		}
+	}()
 	defer func() {
 		if recovered := recover(); recovered != nil {
 			c.mu.Lock()
@@ -107,6 +119,22 @@
 	// An error is reported again by the next write or at the end of the handler.
 	_, _ = c.serverWriter.Write(c.buffered)
 	c.buffered = nil
+	c.returnHeld()
+}
+
+// hold draws memory for the buffered answer.
+func (c *earlyCall) hold(bytes int) {
+	if limited := c.conn.limited; limited != nil {
+		c.held.Add(int64(bytes))
+		limited.Hold(int64(bytes))
+	}
+}
+
+// returnHeld returns what hold has drawn.
+func (c *earlyCall) returnHeld() {
+	if bytes := c.held.Swap(0); bytes > 0 {
+		c.conn.limited.Hold(-bytes)
+	}
 }
 
 func (c *earlyCall) broadcast() {
@@ -141,6 +169,7 @@
 	if c.serverWriter != nil {
 		return c.serverWriter.Write(p)
 	}
+	c.hold(len(p))
 	c.buffered = append(c.buffered, p...)
 	return len(p), nil
 }
