--- a/io/proxy/budget_test.go
+++ b/io/proxy/budget_test.go
@@ -14,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"verbenaway/core"
 	"verbenaway/io/limit"
 )
 
@@ -50,9 +51,13 @@
 }
 
 // dialBudget is dialPipelined with a budget. A nil wrap leaves the connections as they are.
-func dialBudget(t *testing.T, budget *limit.Budget, wrap func(net.Conn) net.Conn, gate http.HandlerFunc) net.Conn {
+func dialBudget(t *testing.T, budget *limit.Budget, wrap func(net.Conn) net.Conn, gate http.HandlerFunc, changes ...func(*EntryConfig)) net.Conn {
 	t.Helper()
-	rig := newEntryRig(t, nil, gateHost("a", startGate(t, gate)))
+	rig := newEntryRig(t, func(config *EntryConfig) {
+		for _, change := range changes {
+			change(config)
+		}
+	}, gateHost("a", startGate(t, gate)))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	if wrap != nil {
@@ -174,3 +179,29 @@
 	c.Assert(readStatuses(c, conn, 1+early), qt.HasLen, 1+early)
 	waitUntil(t, func() bool { return budget.Bytes() == 0 })
 }
+
+// TestRefusedHeadArrives guards against the refusal of a head that is lost since the connection is reset
+// while the caller still sends.
+func TestRefusedHeadArrives(t *testing.T) {
+	c := qt.New(t)
+	conn := dialBudget(t, limit.NewBudget(limit.Config{}), nil, func(http.ResponseWriter, *http.Request) {})
+	text := "GET /lookup/1 HTTP/1.1\r\nX-Long: " + strings.Repeat("x", maxLingerBytes/2)
+	_, err := io.WriteString(conn, text)
+	c.Assert(err, qt.IsNil)
+	c.Assert(readStatuses(c, conn, 1), qt.DeepEquals, []int{http.StatusRequestHeaderFieldsTooLarge})
+}
+
+// TestRefusalForMemory guards against a refusal of a head for want of memory that does not have the form
+// of the platform, which says when to come back.
+func TestRefusalForMemory(t *testing.T) {
+	c := qt.New(t)
+	conn := dialBudget(t, limit.NewBudget(limit.Config{Bytes: 150 << 10}), nil, func(http.ResponseWriter, *http.Request) {}, func(config *EntryConfig) {
+		config.Dialect = fakeDialect{}
+	})
+	_, err := io.WriteString(conn, "GET /lookup/1 HTTP/1.1\r\nHost: mesh.test\r\n"+strings.Repeat("A: b\r\n", 200)+"\r\n")
+	c.Assert(err, qt.IsNil)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(response.Header.Get("X-Kind"), qt.Equals, string(core.Overloaded))
+}
--- a/io/proxy/early_conn.go
+++ b/io/proxy/early_conn.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenaway/core"
 	"verbenaway/io/limit"
 )
 
@@ -350,11 +351,47 @@
 	c.readAhead = nil
 	c.searchedBytes = 0
 	c.err = io.EOF
+	c.account()
 	c.mu.Unlock()
 	defer c.mu.Lock()
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	text := strconv.Itoa(status) + " " + http.StatusText(status)
-	_, _ = io.WriteString(c, "HTTP/1.1 "+text+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+text)
+	header := http.Header{
+		"Connection":   {"close"},
+		"Content-Type": {"text/plain; charset=utf-8"},
+	}
+	if dialect := c.entry.config.Dialect; dialect != nil && status == http.StatusServiceUnavailable {
+		// The memory that is awaited is that of connections which were closed already.
+		dialect.SetRefusalHeaders(header, core.Refusal{
+			Kind: core.Overloaded,
+		})
+	}
+	var answer bytes.Buffer
+	_, _ = answer.WriteString("HTTP/1.1 " + text + "\r\n")
+	_ = header.Write(&answer)
+	_, _ = answer.WriteString("\r\n" + text)
+	if _, err := c.Write(answer.Bytes()); err == nil {
+		c.lingerClosed()
+	}
+}
+
+// lingerClosed sends the end and reads on until the caller closes too. If the connection were closed with
+// unread bytes, it would be reset, and the caller could lose the answer.
+func (c *callerConn) lingerClosed() {
+	closer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || closer.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	buffer := smallBuffers.get()
+	defer smallBuffers.put(buffer)
+	for left := maxLingerBytes; left > 0; {
+		n, err := c.Conn.Read(*buffer)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
 }
 
 // drawHead draws the memory for the request of a head, and reports whether it may be parsed. The caller
