limit: close connections outside the lock, and choose them once

Relieving memory looked at all connections for each one that it closed, and closed sockets while all others waited for the budget. The victims are now sorted once and closed after the lock is released (TestClosesUnlocked failed before).

The fuzz targets of heads and chunks play with early calls on and check that nothing is drawn on an idle connection, and TestNoRoom that a connection which ends makes room for the next one.

--- a/io/limit/budget.go
+++ b/io/limit/budget.go
@@ -1,8 +1,10 @@
 package limit
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,6 +82,8 @@
 	conns map[*Conn]struct{}
 	// busy is the number of connections that were not idle at the last scan or are newer.
 	busy int
+	// evicted are connections that unlock closes.
+	evicted []*Conn
 }
 
 // NewBudget returns a budget; Watch must run for what depends on time.
@@ -145,7 +149,7 @@
 func (b *Budget) scan(now time.Time) (isCalm bool) {
 	config := b.config.Load()
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	defer b.unlock()
 	b.busy = 0
 	for c := range b.conns {
 		c.mu.Lock()
@@ -178,7 +182,7 @@
 func (b *Budget) draw(bytes int64) {
 	if b.bytes.Add(bytes) > b.maxBytes() && bytes > 0 {
 		b.mu.Lock()
-		defer b.mu.Unlock()
+		defer b.unlock()
 		b.relieve(time.Now())
 	}
 }
@@ -196,19 +200,28 @@
 	if b.bytes.Load() <= limit {
 		return
 	}
-	for float64(b.bytes.Load()) > relievedShare*float64(limit) {
-		var worst *Conn
-		var worstCost int64
-		for c := range b.conns {
-			if cost := c.cost(now); cost > worstCost {
-				worst, worstCost = c, cost
-			}
+	type weighed struct {
+		conn *Conn
+		cost int64
+	}
+	var conns []weighed
+	for c := range b.conns {
+		if cost := c.cost(now); cost > 0 {
+			conns = append(conns, weighed{
+				conn: c,
+				cost: cost,
+			})
 		}
-		if worst == nil {
+	}
+	slices.SortFunc(conns, func(x, y weighed) int {
+		return cmp.Compare(y.cost, x.cost)
+	})
+	for _, victim := range conns {
+		if float64(b.bytes.Load()) <= relievedShare*float64(limit) {
 			return
 		}
 		b.Counters.ForMemory.Add(1)
-		b.evict(worst)
+		b.evict(victim.conn)
 	}
 }
 
@@ -218,7 +231,7 @@
 	now := time.Now()
 	c := newConn(b, conn, now)
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	defer b.unlock()
 	limit := b.config.Load().Conns
 	for limit > 0 && len(b.conns)+int(b.outgoing.Load()) >= limit {
 		victim := b.leastYield(now)
@@ -259,13 +272,23 @@
 	return bytes <= cheapHeadBytes || b.bytes.Load()+b.closing.Load()+bytes <= b.maxBytes()
 }
 
-// evict closes a connection and returns what it held. The caller holds mu.
+// evict returns what a connection held; unlock closes it. The caller holds mu.
 func (b *Budget) evict(c *Conn) {
 	b.remove(c)
 	c.closing = c.held
 	b.closing.Add(c.closing)
-	// The server notices the end by its next read or write.
-	_ = c.Conn.Close()
+	b.evicted = append(b.evicted, c)
+}
+
+// unlock releases mu and closes the evicted connections. It may take long to close many.
+func (b *Budget) unlock() {
+	evicted := b.evicted
+	b.evicted = nil
+	b.mu.Unlock()
+	for _, c := range evicted {
+		// The server notices the end by its next read or write.
+		_ = c.Conn.Close()
+	}
 }
 
 // remove returns what a connection held. The caller holds mu.
@@ -304,7 +327,7 @@
 func (b *Budget) makeRoom() {
 	now := time.Now()
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	defer b.unlock()
 	limit := b.config.Load().Conns
 	if limit <= 0 || len(b.conns)+int(b.outgoing.Load()) < limit {
 		return
--- a/io/limit/budget_test.go
+++ b/io/limit/budget_test.go
@@ -138,11 +138,21 @@
 	second.Begin()
 	refused, server := net.Pipe()
 	go func() { listener.Listener.(chanListener).conns <- server }()
-	go func() { _, _ = listener.Accept() }()
+	admitted := make(chan net.Conn, 1)
+	go func() {
+		conn, _ := listener.Accept()
+		admitted <- conn
+	}()
 	_, err := refused.Read(make([]byte, 1))
 	c.Assert(err, qt.Equals, io.EOF)
 	second.End()
 	c.Assert(second.Close(), qt.IsNil)
+	_, server = net.Pipe()
+	listener.Listener.(chanListener).conns <- server
+	third := <-admitted
+	incoming, _ := b.Conns()
+	c.Assert(incoming, qt.Equals, 2)
+	c.Assert(third.Close(), qt.IsNil)
 	c.Assert(first.Close(), qt.IsNil)
 	c.Assert(b.Bytes(), qt.Equals, int64(0))
 }
@@ -193,3 +203,57 @@
 	b.scan(time.Now().Add(2 * time.Second))
 	c.Assert(isClosed(client), qt.IsTrue)
 }
+
+// lockConn records whether it is closed while the budget is locked.
+type lockConn struct {
+	net.Conn
+	budget       *Budget
+	isClosed     bool
+	isLockedThen bool
+}
+
+// Close implements net.Conn.
+func (c *lockConn) Close() error {
+	c.isClosed = true
+	if c.isLockedThen = !c.budget.mu.TryLock(); !c.isLockedThen {
+		c.budget.mu.Unlock()
+	}
+	return nil
+}
+
+// TestClosesUnlocked guards against sockets that are closed while all other connections wait for the
+// budget.
+func TestClosesUnlocked(t *testing.T) {
+	cases := []struct {
+		name  string
+		evict func(b *Budget)
+	}{
+		{name: "memory", evict: func(b *Budget) {
+			b.Configure(Config{Bytes: 1})
+			b.draw(1)
+		}},
+		{name: "connections", evict: func(b *Budget) {
+			b.Configure(Config{Conns: 1})
+			b.makeRoom()
+		}},
+		{name: "slow head", evict: func(b *Budget) {
+			b.Configure(Config{HeadTimeout: time.Second})
+			b.scan(time.Now().Add(time.Minute))
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := NewBudget(Config{})
+			conn := &lockConn{
+				budget: b,
+			}
+			limited := b.admit(conn)
+			limited.Own(true)
+			limited.Set(Heading, 100)
+			tc.evict(b)
+			c.Assert(conn.isClosed, qt.IsTrue)
+			c.Assert(conn.isLockedThen, qt.IsFalse)
+		})
+	}
+}
--- a/io/proxy/fuzz_test.go
+++ b/io/proxy/fuzz_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"testing"
@@ -77,19 +78,19 @@
 func (emptyView) Snapshot() (*core.Snapshot, core.ErrorKind) { return nil, core.Starting }
 
 // requestsIn returns the requests that a server finds in a text, with the listener of the callers or
-// without it. The bytes drawn from the budget at the end are returned too.
+// without it. The most bytes drawn from the budget while the
+// connection is idle with nothing read ahead, or at the end, are returned too.
 func requestsIn(text []byte, piece int, isPipelined bool) (requests []string, drawn int64) {
 	budget := limit.NewBudget(limit.Config{})
 	entry := &Entry{
 		config: EntryConfig{
 			Config:  emptyView{},
 			Journal: &fakeJournal{},
+			Clock:   systemClock{},
 		},
 	}
 	entry.Counters.Refusals = new(expvar.Map).Init()
 	entry.refusals = newRefusalLog(&entry.config, &entry.Counters)
-	// Early calls would need upstreams.
-	entry.leaving.Store(true)
 	once := &onceListener{
 		conns: make(chan net.Conn, 1),
 	}
@@ -108,14 +109,26 @@
 	server := entry.Server()
 	server.Handler = http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if conn, ok := r.Context().Value(callerConnKey{}).(*callerConn); ok {
-			conn.startHandler(r)
+			early := conn.startHandler(r)
 			defer conn.endHandler()
+			if early != nil {
+				defer early.release()
+				// Without a configuration it is refused.
+				early.join(httptest.NewRecorder(), r)
+			}
 		}
 		size, err := io.Copy(io.Discard, r.Body)
 		requests = append(requests, fmt.Sprint(r.Method, " ", r.RequestURI, " ", r.Host, " ", size, " ", err != nil))
 	})
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		observeConnState(conn, state)
+		if c, ok := conn.(*callerConn); ok && state == http.StateIdle {
+			c.mu.Lock()
+			if len(c.readAhead) == 0 {
+				drawn = max(drawn, budget.Bytes())
+			}
+			c.mu.Unlock()
+		}
 		if state == http.StateClosed {
 			close(closed)
 		}
@@ -128,7 +141,7 @@
 	_ = server.Serve(listener)
 	<-closed
 	entry.refusals.flush()
-	return requests, budget.Bytes()
+	return requests, max(drawn, budget.Bytes())
 }
 
 // checkFraming checks that the reader of pipelined requests finds the same requests as the server alone.
