--- a/io/proxy/early_conn.go
+++ b/io/proxy/early_conn.go
@@ -9,11 +9,13 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"verbenaway/core"
 	"verbenaway/io/limit"
 )
 
@@ -94,7 +96,9 @@
 	bodyLeft int64
 	// searchedBytes is the number of leading bytes of readAhead without the end of a head.
 	searchedBytes int
-	// headBytes is the memory that the heads of the requests in service take.
+	// headCosts is the memory that each head of the requests in service takes, in the order of the
+	// requests and with those of early calls; headBytes is their sum.
+	headCosts []int64
 	headBytes int64
 	// isPassThrough is set once the boundaries of requests are unknown; all bytes are then
 	// passed through.
@@ -294,7 +298,8 @@
 		return
 	}
 	head := c.readAhead[:end]
-	if !c.drawHead(head) {
+	// The head of an early call was drawn when the call started.
+	if c.earlyBytes == 0 && !c.drawHead(head) {
 		c.refuseHead(http.StatusServiceUnavailable)
 		return
 	}
@@ -346,11 +351,47 @@
 	c.readAhead = nil
 	c.searchedBytes = 0
 	c.err = io.EOF
+	c.account()
 	c.mu.Unlock()
 	defer c.mu.Lock()
 	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
 	text := strconv.Itoa(status) + " " + http.StatusText(status)
-	_, _ = io.WriteString(c, "HTTP/1.1 "+text+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+text)
+	header := http.Header{
+		"Connection":   {"close"},
+		"Content-Type": {"text/plain; charset=utf-8"},
+	}
+	if dialect := c.entry.config.Dialect; dialect != nil && status == http.StatusServiceUnavailable {
+		// The memory that is awaited is that of connections which were closed already.
+		dialect.SetRefusalHeaders(header, core.Refusal{
+			Kind: core.Overloaded,
+		})
+	}
+	var answer bytes.Buffer
+	_, _ = answer.WriteString("HTTP/1.1 " + text + "\r\n")
+	_ = header.Write(&answer)
+	_, _ = answer.WriteString("\r\n" + text)
+	if _, err := c.Write(answer.Bytes()); err == nil {
+		c.lingerClosed()
+	}
+}
+
+// lingerClosed sends the end and reads on until the caller closes too. If the connection were closed with
+// unread bytes, it would be reset, and the caller could lose the answer.
+func (c *callerConn) lingerClosed() {
+	closer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || closer.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	buffer := smallBuffers.get()
+	defer smallBuffers.put(buffer)
+	for left := maxLingerBytes; left > 0; {
+		n, err := c.Conn.Read(*buffer)
+		if err != nil {
+			return
+		}
+		left -= n
+	}
 }
 
 // drawHead draws the memory for the request of a head, and reports whether it may be parsed. The caller
@@ -363,11 +404,22 @@
 	if !c.limited.CanAfford(cost) {
 		return false
 	}
+	c.headCosts = append(c.headCosts, cost)
 	c.headBytes += cost
 	c.account()
 	return true
 }
 
+// returnHead returns the memory of the head at a position in headCosts. The caller holds mu.
+func (c *callerConn) returnHead(position int) {
+	if position < 0 || position >= len(c.headCosts) {
+		return
+	}
+	c.headBytes -= c.headCosts[position]
+	c.headCosts = slices.Delete(c.headCosts, position, position+1)
+	c.account()
+}
+
 // passThrough lets the server find the boundaries of the requests. The caller holds mu.
 func (c *callerConn) passThrough() {
 	c.account()
@@ -384,9 +436,9 @@
 	}
 	phase := limit.Idle
 	switch {
-	case c.isServing() && c.bodyLeft > 0:
+	case c.isAnswering() && c.bodyLeft > 0:
 		phase = limit.Uploading
-	case c.isServing():
+	case c.isAnswering():
 		phase = limit.Serving
 	case len(c.readAhead) > 0:
 		phase = limit.Heading
@@ -470,13 +522,12 @@
 			return
 		}
 		end += len(headerEnd)
-		before := c.headBytes
 		if !c.drawHead(rest[:end]) {
 			return
 		}
 		request, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(rest[:end])))
 		if err != nil || request.ContentLength != 0 || request.Method != http.MethodGet {
-			c.headBytes = before
+			c.returnHead(len(c.headCosts) - 1)
 			return
 		}
 		c.hasLastRequest = request.Close
@@ -519,9 +570,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isHandling = false
-	if len(c.earlyCalls) == 0 {
-		c.headBytes = 0
+	if len(c.earlyCalls) == 0 && !c.isHandlerDue() {
+		c.headCosts, c.headBytes = nil, 0
 	}
+	c.returnHead(0)
 	c.account()
 	c.changed.Broadcast()
 }
