proxy: the head of an answer goes with the first byte of its body

Change: the head waits for the first byte or the end; before that, the request gets another attempt or an answer that says what is known. The lines say whether an answer broke off or the caller took no more. TestEntryFaults has three more cases; all six of their rows failed before.

--- a/io/proxy/entry_decide.go
+++ b/io/proxy/entry_decide.go
@@ -35,13 +35,20 @@
 	c.entry.config.Decisions.RecordDecision(decision)
 }
 
-// logCut logs that the answer was cut off after its headers were sent.
-func (c *call) logCut() {
+// logCut logs that the answer was cut off after its headers were sent, and why.
+func (c *call) logCut(detail string) {
 	c.logDecision(core.DecisionCut, result{
-		detail: "the answer broke off",
+		detail: detail,
 	})
 }
 
+// answerBrokeOff is the reason of an answer whose end did not arrive, callerTookNoMore that of one which
+// could not be sent.
+const (
+	answerBrokeOff   = "the answer broke off"
+	callerTookNoMore = "the caller took no more of the answer"
+)
+
 // newDecision returns a decision with what is known of the request so far.
 func (c *call) newDecision(kind core.DecisionKind) core.Decision {
 	now := c.entry.config.Clock.Now()
--- a/io/proxy/entry_fault_test.go
+++ b/io/proxy/entry_fault_test.go
@@ -50,6 +50,13 @@
 		{name: "large answer cut after the first byte", gate: respondRaw("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\nx", false), order: cutOff, lookup: cutOff},
 		{name: "large answer reset after the first byte", gate: respondRaw("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\nx", true), order: cutOff, lookup: cutOff},
 		{name: "cut between chunks", gate: respondRaw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", false), order: cutOff, lookup: cutOff},
+		{name: "cut before the first chunk", gate: respondRaw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false), order: "outcomeUnknown", lookup: ok},
+		{name: "large answer cut before the first byte", gate: respondRaw("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n", false), order: "outcomeUnknown", lookup: ok},
+		{name: "hang before the first chunk", gate: func(conn net.Conn, _ *http.Request, _ string) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			_, _ = conn.Read(make([]byte, 1))
+			return false
+		}, order: "deadlineInRun", lookup: "deadlineInRun"},
 		{name: "end without length", gate: respondRaw("HTTP/1.1 200 OK\r\n\r\nx", false), order: cutOff, lookup: cutOff},
 		{name: "hang", gate: func(conn net.Conn, _ *http.Request, _ string) bool {
 			_, _ = conn.Read(make([]byte, 1))
--- a/io/proxy/entry_local.go
+++ b/io/proxy/entry_local.go
@@ -21,7 +21,7 @@
 		// Once the answer has started, the abort shows the caller that it is incomplete.
 		if w.isStarted && !w.isRefusal {
 			c.entry.Counters.Aborted.Add(1)
-			c.logCut()
+			c.logCut(answerBrokeOff)
 			panic(recovered)
 		}
 		if recovered != http.ErrAbortHandler { //nolint:errorlint // The server compares this panic value the same way.
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -196,12 +196,7 @@
 	}
 	pool := wholeAnswerPool(c.request.Method, response)
 	if pool == nil {
-		c.entry.balancer.RecordAnswer(c.choice)
-		c.writeHeader(response.StatusCode, response.Header)
-		c.copyAnswer(response)
-		return result{
-			answered: true,
-		}
+		return c.copyAnswer(response)
 	}
 	buffer := pool.get()
 	defer pool.put(buffer)
@@ -215,7 +210,7 @@
 	c.entry.balancer.RecordAnswer(c.choice)
 	c.writeHeader(response.StatusCode, response.Header)
 	if err = c.write(body); err != nil {
-		c.abort()
+		c.abort(callerTookNoMore + ": " + err.Error())
 	}
 	c.endAnswer(response)
 	return result{
@@ -351,30 +346,44 @@
 	return failedAttempt(core.Canceled, false, "the caller did not send the whole body")
 }
 
-// copyAnswer passes on the body of an answer. If the answer is cut off, or its end cannot be told
-// from a lost connection, the caller's connection is aborted.
-func (c *call) copyAnswer(response *http.Response) {
+// copyAnswer passes on an answer, from the first byte of its body. If it is cut off later, or its end
+// cannot be told from a lost connection, the caller's connection is aborted.
+func (c *call) copyAnswer(response *http.Response) result {
 	pool := poolFor(response.ContentLength)
 	buffer := pool.get()
 	defer pool.put(buffer)
 	// An answer with neither Content-Length nor chunks ends with its connection.
 	endsAtClose := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	isStarted := false
 	for {
 		n, err := response.Body.Read(*buffer)
+		isWhole := errors.Is(err, io.EOF) && !endsAtClose
+		if !isStarted && (n > 0 || isWhole) {
+			isStarted = true
+			c.entry.balancer.RecordAnswer(c.choice)
+			c.writeHeader(response.StatusCode, response.Header)
+		}
 		if n > 0 {
 			if writeErr := c.write((*buffer)[:n]); writeErr != nil {
-				c.abort()
+				c.abort(callerTookNoMore + ": " + writeErr.Error())
 			}
 			if response.ContentLength < 0 {
 				_ = c.reply.control.Flush()
 			}
 		}
-		if errors.Is(err, io.EOF) && !endsAtClose {
+		switch {
+		case isWhole:
 			c.endAnswer(response)
-			return
-		}
-		if err != nil {
-			c.abort()
+			return result{
+				answered: true,
+			}
+		case err == nil:
+		case isStarted:
+			c.abort(answerBrokeOff + ": " + err.Error())
+		case c.ctx.Err() != nil:
+			return c.interrupted(true)
+		default:
+			return c.lostAnswer("the answer of " + string(c.choice.Host.Name) + " broke off: " + err.Error())
 		}
 	}
 }
@@ -388,9 +397,9 @@
 }
 
 // abort aborts the caller's connection, so that the caller sees that the answer is incomplete.
-func (c *call) abort() {
+func (c *call) abort(detail string) {
 	c.entry.Counters.Aborted.Add(1)
-	c.logCut()
+	c.logCut(detail)
 	panic(http.ErrAbortHandler)
 }
 
