--- a/io/limit/socket.go
+++ b/io/limit/socket.go
@@ -10,13 +10,24 @@
 // ControlFunc sets options of a socket, for net.ListenConfig.
 type ControlFunc func(network, address string, conn syscall.RawConn) error
 
-// WithWindow bounds the bytes that the kernel receives ahead on each connection of a listener. It suits
-// senders nearby: over a long path, the bound divided by the round-trip time limits the throughput.
+// WithReceiveBuffer bounds the bytes that the kernel receives ahead on each connection of a listener. It
+// suits senders nearby: over a long path, the bound divided by the round-trip time limits the throughput.
+func WithReceiveBuffer(bytes int, next ControlFunc) ControlFunc {
+	// The kernel doubles the value, for its own data.
+	return withOption(unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/2, next)
+}
+
+// WithWindow bounds the window of each connection of a listener as it begins. The kernel lifts the bound
+// for a connection that is read fast, so that it holds for those that are not read.
 func WithWindow(bytes int, next ControlFunc) ControlFunc {
+	return withOption(unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes, next)
+}
+
+func withOption(level, option, value int, next ControlFunc) ControlFunc {
 	return func(network, address string, conn syscall.RawConn) error {
 		var optionErr error
 		err := conn.Control(func(descriptor uintptr) {
-			optionErr = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_WINDOW_CLAMP, bytes)
+			optionErr = unix.SetsockoptInt(int(descriptor), level, option, value)
 		})
 		if err = errors.CombineErrors(err, optionErr); err != nil {
 			return errors.Wrap(err, "set the bound on unread bytes")
