--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenaway/core"
+	"verbenaway/core/room"
 )
 
 // DefaultMaxWait bounds the time in the queue of a request without a target. An upstream that frees
@@ -27,6 +28,8 @@
 	// IsRegistered says that the upstream registers itself on the platform. Its slots and its
 	// cold starts then come from SetUpstream instead of the ramp.
 	IsRegistered bool
+	// LinkBytesPerSecond is the speed of the link of the host, 0 if it is unknown.
+	LinkBytesPerSecond float64
 }
 
 // Request holds the properties of a request that admission depends on.
@@ -46,6 +49,9 @@
 	// NoWait refuses the request instead of queueing it, because another upstream seems to have
 	// a free slot.
 	NoWait bool
+	// BodyBytes is the size of a body that the sender holds back until the request gets its slot, 0
+	// if there is none.
+	BodyBytes int64
 }
 
 // Ticket is the state of one request under admission control. The caller allocates it and
@@ -66,6 +72,8 @@
 	// answersPerSecond is the part of this request in Controller.answersPerSecond.
 	answersPerSecond float64
 	waitDeadline     time.Time
+	// arrivingBytes is the part of this request in Controller.link.
+	arrivingBytes int64
 	routeLimits      []*requestLimit
 	tenantLimits     []*requestLimit
 }
@@ -115,6 +123,7 @@
 	upstream         *Upstream
 	assumedColdUntil time.Time
 	starts           startWindow
+	link             room.Link
 	serviceTimes     serviceTimes
 	// answeredAt is the time of the latest answer, or of the first start after it if no request
 	// was running.
@@ -134,6 +143,9 @@
 	return &Controller{
 		config: config,
 		limits: newLimitSet(),
+		link: room.Link{
+			BytesPerSecond: config.LinkBytesPerSecond,
+		},
 	}
 }
 
@@ -189,7 +201,7 @@
 	if !hasCapacity(ticket.routeLimits) || !hasCapacity(ticket.tenantLimits) {
 		return refuse(core.Limited, "too many requests at once")
 	}
-	wait := !c.canRun(now, ticket.class) || c.queuePosition(ticket.rank) > 0
+	wait := !c.canRun(now, ticket) || c.isAheadRunnable(ticket)
 	if wait && !c.canWait(now, ticket) {
 		decision := refuse(c.busyKind(now), "every slot is in use")
 		decision.RetryAfter = c.expectedQueueTime(now, ticket)
@@ -252,6 +264,23 @@
 	c.ramp.suspectRestart()
 }
 
+// BodyArrived reports that the whole body of a running request has arrived. The result is valid until
+// the next call.
+func (c *Controller) BodyArrived(now time.Time, ticket *Ticket) []Wake {
+	c.wakes = c.wakes[:0]
+	if ticket.arrivingBytes == 0 {
+		return nil
+	}
+	c.endBody(ticket)
+	c.grant(now)
+	return c.wakes
+}
+
+func (c *Controller) endBody(ticket *Ticket) {
+	c.link.End(ticket.arrivingBytes)
+	ticket.arrivingBytes = 0
+}
+
 // Finish frees the slot of a request; success means that it got a complete answer. The result
 // is valid until the next call.
 func (c *Controller) Finish(now time.Time, ticket *Ticket, success bool) []Wake {
@@ -261,6 +290,7 @@
 	}
 	ticket.state = ticketDone
 	c.inFlight--
+	c.endBody(ticket)
 	c.answersPerSecond -= ticket.answersPerSecond
 	if success && !ticket.isFailed {
 		c.serviceTimes.recordDuration(ticket.request.Route, now.Sub(ticket.startedAt))
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -17,14 +17,15 @@
 	return rank
 }
 
-// canRun tells whether a slot is free for the class. Bulk requests leave the reserved slots
-// free, but may always use one slot: an upstream that gets only bulk requests has to warm up too.
-func (c *Controller) canRun(now time.Time, class core.RequestClass) bool {
+// canRun tells whether there is a free slot for a request, and room on the link for its body. Bulk
+// requests leave the reserved slots free, but may always use one slot: an upstream that gets only bulk
+// requests has to warm up too.
+func (c *Controller) canRun(now time.Time, ticket *Ticket) bool {
 	limit := c.limit()
-	if c.inFlight >= limit || !c.allowsStart(now) {
+	if c.inFlight >= limit || !c.allowsStart(now) || !c.link.HasRoom(ticket.request.BodyBytes) {
 		return false
 	}
-	return class != core.ClassBulk || c.bulkInFlight < max(1, limit-c.service.ReservedSlots)
+	return ticket.class != core.ClassBulk || c.bulkInFlight < max(1, limit-c.service.ReservedSlots)
 }
 
 // queuePosition returns how many waiting requests are ahead of a new one of a rank.
@@ -38,6 +39,29 @@
 	return i
 }
 
+// isAheadRunnable tells whether a waiting request that is ahead of a new one can run as soon as the new
+// one can.
+func (c *Controller) isAheadRunnable(ticket *Ticket) bool {
+	for _, waiting := range c.queue[:c.queuePosition(ticket.rank)] {
+		if waiting.request.BodyBytes == 0 || ticket.request.BodyBytes > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// linkWait returns how long a request waits for room on the link for its body.
+func (c *Controller) linkWait(ticket *Ticket) time.Duration {
+	if ticket.request.BodyBytes == 0 {
+		return 0
+	}
+	var ahead int64
+	for _, waiting := range c.queue[:c.queuePosition(ticket.rank)] {
+		ahead += waiting.request.BodyBytes
+	}
+	return c.link.Wait(ticket.request.BodyBytes, ahead)
+}
+
 // canWait tells whether a request that cannot run at once may wait. One whose answer would
 // be too late is refused at once: the slot serves another one in time, and the caller can retry.
 func (c *Controller) canWait(now time.Time, ticket *Ticket) bool {
@@ -109,7 +133,7 @@
 	if serviceTime == 0 && !ticket.request.Target.IsZero() {
 		serviceTime = time.Duration(defaultServiceTimeShare * float64(ticket.request.Target.Sub(now)))
 	}
-	return c.queueTimeForRank(now, ticket.rank, serviceTime)
+	return max(c.queueTimeForRank(now, ticket.rank, serviceTime), c.linkWait(ticket))
 }
 
 // queueTimeForRank returns the queue time of a new request of a rank if each request has the given
@@ -148,6 +172,8 @@
 		c.recordAnswerAt(now)
 	}
 	c.inFlight++
+	ticket.arrivingBytes = ticket.request.BodyBytes
+	c.link.Begin(ticket.arrivingBytes)
 	ticket.answersPerSecond = c.expectedAnswers(ticket.request.Route)
 	c.answersPerSecond += ticket.answersPerSecond
 	if c.service.ColdRate > 0 {
@@ -210,11 +236,15 @@
 }
 
 // grant gives free slots to waiting requests in the order of the queue, and refuses those
-// whose wait has timed out.
+// whose wait has timed out. Requests whose bodies find no room on the link are passed over.
 func (c *Controller) grant(now time.Time) {
-	for c.waiting() > 0 && c.inFlight < c.limit() && c.allowsStart(now) {
-		ticket := c.queue[0]
-		c.queue = slices.Delete(c.queue, 0, 1)
+	for i := 0; i < c.waiting() && c.inFlight < c.limit() && c.allowsStart(now); {
+		ticket := c.queue[i]
+		if !c.link.HasRoom(ticket.request.BodyBytes) {
+			i++
+			continue
+		}
+		c.queue = slices.Delete(c.queue, i, i+1)
 		wake := Wake{
 			Ticket: ticket,
 		}
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -63,6 +63,8 @@
 	IsConfirmed func() bool
 	// Quotas bounds the requests of each tenant over all daemons. Optional.
 	Quotas core.Quotas
+	// LinkBytesPerSecond is the speed of the link of the host, 0 if it is unknown.
+	LinkBytesPerSecond float64
 }
 
 // Entry receives requests from callers and forwards them to the gatekeeper of an upstream. It
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -292,10 +292,16 @@
 	return out.WithContext(httptrace.WithClientTrace(c.attemptCtx, &s.trace))
 }
 
-// minExpectContinueBytes is the size from which a body is sent to another availability zone only
-// after the gatekeeper has admitted the request. Traffic between zones is paid for, so the body of
-// a refused request would be wasted, while Expect costs a connection and a round trip.
-const minExpectContinueBytes = 16 << 10
+const (
+	// minExpectContinueBytes is the size from which a body is sent to another availability zone only
+	// after the gatekeeper has admitted the request. Traffic between zones is paid for, so the body
+	// of a refused request would be wasted, while Expect costs a connection and a round trip.
+	minExpectContinueBytes = 16 << 10
+	// minExpectContinueTime is the time on the link from which such a body is held back within an
+	// availability zone too: the gatekeeper admits no more bodies than its link carries beside
+	// shorter requests.
+	minExpectContinueTime = 10 * time.Millisecond
+)
 
 // expectsContinue reports whether the body is sent only after the gatekeeper has admitted the
 // request.
@@ -303,8 +309,14 @@
 	if c.stream != nil {
 		return true
 	}
-	isOtherZone := c.choice.Host.AvailabilityZone != c.entry.config.Self.AvailabilityZone
-	return c.entry.config.Dialect != nil && isOtherZone && len(c.body) >= minExpectContinueBytes
+	config := &c.entry.config
+	if config.Dialect == nil || len(c.body) < minExpectContinueBytes {
+		return false
+	}
+	if c.choice.Host.AvailabilityZone != config.Self.AvailabilityZone {
+		return true
+	}
+	return float64(len(c.body)) >= config.LinkBytesPerSecond*minExpectContinueTime.Seconds() && config.LinkBytesPerSecond > 0
 }
 
 var (
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -40,6 +40,8 @@
 	// 4 s. It should be shorter than that of the upstream, since a request sent on a connection
 	// that the upstream closes at the same time has an unknown outcome.
 	IdleTimeout time.Duration
+	// LinkBytesPerSecond is the speed of the link of the host, 0 if it is unknown.
+	LinkBytesPerSecond float64
 	// Dialect is the dialect of a platform whose upstreams register themselves. With it the
 	// gatekeeper sends requests to the registered instance and ignores idempotency keys.
 	// Optional; requires Upstream.
@@ -110,6 +112,8 @@
 			MaxWait:      config.MaxQueueWait,
 			WatchLatency: config.WatchLatency,
 			IsRegistered: config.Upstream != nil,
+
+			LinkBytesPerSecond: config.LinkBytesPerSecond,
 		}),
 		idle: make(chan struct{}, 1),
 	}
--- a/io/proxy/gate_body.go
+++ b/io/proxy/gate_body.go
@@ -17,6 +17,8 @@
 	body io.ReadCloser
 
 	controller *http.ResponseController
+	// onEnd is called when the whole body has been read. Optional.
+	onEnd func()
 
 	mu        sync.Mutex
 	readEnded sync.Cond
@@ -49,6 +51,9 @@
 	b.reading = true
 	b.mu.Unlock()
 	n, err := b.body.Read(p)
+	if b.onEnd != nil && errors.Is(err, io.EOF) {
+		b.onEnd()
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reading = false
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -10,6 +10,7 @@
 	"verbenaway/core"
 	"verbenaway/core/admit"
 	"verbenaway/core/dedup"
+	"verbenaway/core/room"
 	"verbenaway/core/route"
 )
 
@@ -117,9 +118,22 @@
 		}
 		call.admitRequest.Target = call.started.Add(time.Duration(target) * time.Millisecond)
 	}
+	call.admitRequest.BodyBytes = heldBackBytes(r)
 	return call, "", ""
 }
 
+// heldBackBytes returns the size of a body that is sent only once the request is admitted. Such a
+// request announces it; an entry in the same process sends its body over no link.
+func heldBackBytes(r *http.Request) int64 {
+	if firstValue(r.Header, "Expect") == "" {
+		return 0
+	}
+	if r.ContentLength < 0 {
+		return room.UnknownBodyBytes
+	}
+	return r.ContentLength
+}
+
 // routeName returns the name of the request's route in a snapshot, "" if it has none. Names that operators
 // give need not stay the same in the next version, which the sender may have already or not yet; so
 // with a Dialect, whose paths are passed on literally, host and path identify the route.
@@ -303,6 +317,13 @@
 	}
 }
 
+// bodyArrived tells admission control that the whole body of a call has arrived.
+func (g *Gate) bodyArrived(ticket *admit.Ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliverWakes(g.admission.BodyArrived(g.config.Clock.Now(), ticket))
+}
+
 // report tells admission control what was observed of the upstream, and updates the load. A
 // failed connection to an upstream that registers itself starts the connect backoff.
 func (c *gateCall) report(signal admit.Signal, bootID string) {
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -50,6 +50,11 @@
 		// Without full duplex the server would read the rest of the body before it writes an
 		// answer, while the upstream still reads it.
 		c.body = newGateBody(c.writer, c.request.Body)
+		if c.admitRequest.BodyBytes > 0 {
+			c.body.onEnd = func() {
+				c.gate.bodyArrived(&c.ticket)
+			}
+		}
 		_ = c.body.controller.EnableFullDuplex()
 		defer context.AfterFunc(ctx, c.body.interrupt)()
 		defer func() {
