room, admit: requests in time before late ones, displacement, turn of the least urgent

Cause: a request that could no longer be answered in time kept its place in the queue and made the ones behind it late. The expected wait left out the more urgent requests that come meanwhile.

Change: the queue is ordered by priority (of route or tenant), then in time before late, then by latest start. Late ones are bounded by the number of slots. A request that an urgent one makes late is refused as displaced while another upstream can still take it. After 16 grants the least urgent one has its turn.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -1,7 +1,6 @@
 package admit
 
 import (
-	"slices"
 	"time"
 
 	"verbenaway/core"
@@ -62,7 +61,7 @@
 
 	request  Request
 	class    core.RequestClass
-	rank     int
+	claim    room.Claim
 	isFailed bool
 	state    ticketState
 	// epoch and suspicion are those of the ramp when the request got its slot.
@@ -74,8 +73,8 @@
 	waitDeadline     time.Time
 	// arrivingBytes is the part of this request in Controller.link.
 	arrivingBytes int64
-	routeLimits      []*requestLimit
-	tenantLimits     []*requestLimit
+	routeLimits   []*requestLimit
+	tenantLimits  []*requestLimit
 }
 
 type ticketState int
@@ -116,9 +115,12 @@
 	// inFlight counts the requests that hold a slot, and bulkInFlight those of class bulk.
 	inFlight     int
 	bulkInFlight int
-	// queue holds the waiting requests by rank and then by arrival.
-	queue    []*Ticket
-	draining bool
+	// queue holds the waiting requests in the order of their arrival.
+	queue []*Ticket
+	// passedOver counts the latest grants for which a less urgent request had to wait on.
+	passedOver int
+	demand     room.Demand
+	draining   bool
 	// upstream is the record given to SetUpstream, nil if there is none.
 	upstream         *Upstream
 	assumedColdUntil time.Time
@@ -130,9 +132,9 @@
 	answeredAt time.Time
 	// answersPerSecond is how many answers a second to expect from the running requests.
 	answersPerSecond float64
-	// maxRank is the highest rank of the requests that the upstream may get.
-	maxRank int
-	wakes   []Wake
+	// lastClaim is that of the least urgent requests that the upstream may get.
+	lastClaim room.Claim
+	wakes     []Wake
 }
 
 // New returns a controller that assumes a cold upstream.
@@ -160,7 +162,7 @@
 	c.snapshot = snapshot
 	c.service = snapshot.Services[c.serviceName()]
 	c.ramp.configure(c.service)
-	c.maxRank = maxRankOf(snapshot, c.serviceName())
+	c.lastClaim = lastClaimOf(snapshot, c.serviceName())
 	c.serviceTimes.prune(snapshot.Routes)
 	c.limits.configure(now, snapshot)
 	c.refuseWaiting(func(ticket *Ticket) (core.ErrorKind, string) {
@@ -181,8 +183,24 @@
 	return c.wakes
 }
 
-// Offer decides on a new request; Configure must have been called before.
+// Offer decides on a new request; Configure must have been called before. A request that has to wait
+// may displace another one, or itself: see Displaced.
 func (c *Controller) Offer(now time.Time, request Request, ticket *Ticket) Decision {
+	c.wakes = c.wakes[:0]
+	decision := c.decide(now, request, ticket)
+	if decision.Wait {
+		c.displace(now)
+	}
+	return decision
+}
+
+// Displaced returns the wakes of the requests that the latest Offer displaced. The result is valid until
+// the next call.
+func (c *Controller) Displaced() []Wake {
+	return c.wakes
+}
+
+func (c *Controller) decide(now time.Time, request Request, ticket *Ticket) Decision {
 	if c.draining {
 		return refuse(core.Leaving, "the daemon is leaving")
 	}
@@ -195,13 +213,13 @@
 	}
 	ticket.request = request
 	ticket.class = route.Class
-	ticket.rank = rankOf(route, c.snapshot.RequestPriority(&route, request.Tenant))
+	ticket.claim = c.claimOf(&route, &ticket.request)
 	ticket.routeLimits = c.limits.routes[request.Route]
 	ticket.tenantLimits = c.limits.tenants[request.Tenant]
 	if !hasCapacity(ticket.routeLimits) || !hasCapacity(ticket.tenantLimits) {
 		return refuse(core.Limited, "too many requests at once")
 	}
-	wait := !c.canRun(now, ticket) || c.isAheadRunnable(ticket)
+	wait := !c.canRun(now, ticket) || c.isAheadRunnable(now, ticket)
 	if wait && !c.canWait(now, ticket) {
 		decision := refuse(c.busyKind(now), "every slot is in use")
 		decision.RetryAfter = c.expectedQueueTime(now, ticket)
@@ -225,9 +243,7 @@
 	if ticket.state != ticketWaiting {
 		return false
 	}
-	if i := slices.Index(c.queue, ticket); i >= 0 {
-		c.queue = slices.Delete(c.queue, i, i+1)
-	}
+	c.remove(ticket)
 	c.releaseWaiting(ticket)
 	return true
 }
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -1,20 +1,23 @@
 package admit
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"verbenaway/core"
+	"verbenaway/core/room"
 )
 
-// rankOf returns the rank of a route's requests of a priority in the queue, lower first: by priority,
-// and lookups first within a priority.
-func rankOf(route core.RouteSpec, priority int) int {
-	rank := 2 * priority
-	if route.Class != core.ClassLookup {
-		rank++
+// claimOf returns the claim of a request on a route.
+func (c *Controller) claimOf(route *core.RouteSpec, request *Request) room.Claim {
+	return room.Claim{
+		Priority:    c.snapshot.RequestPriority(route, request.Tenant),
+		IsLookup:    route.Class == core.ClassLookup,
+		Target:      request.Target,
+		Deadline:    request.Deadline,
+		ServiceTime: c.serviceTimes.of(request.Route),
 	}
-	return rank
 }
 
 // canRun tells whether there is a free slot for a request, and room on the link for its body. Bulk
@@ -28,22 +31,11 @@
 	return ticket.class != core.ClassBulk || c.bulkInFlight < max(1, limit-c.service.ReservedSlots)
 }
 
-// queuePosition returns how many waiting requests are ahead of a new one of a rank.
-func (c *Controller) queuePosition(rank int) int {
-	i, _ := slices.BinarySearchFunc(c.queue, rank, func(ticket *Ticket, rank int) int {
-		if ticket.rank <= rank {
-			return -1
-		}
-		return 1
-	})
-	return i
-}
-
 // isAheadRunnable tells whether a waiting request that is ahead of a new one can run as soon as the new
 // one can.
-func (c *Controller) isAheadRunnable(ticket *Ticket) bool {
-	for _, waiting := range c.queue[:c.queuePosition(ticket.rank)] {
-		if waiting.request.BodyBytes == 0 || ticket.request.BodyBytes > 0 {
+func (c *Controller) isAheadRunnable(now time.Time, ticket *Ticket) bool {
+	for _, waiting := range c.queue {
+		if (waiting.request.BodyBytes == 0 || ticket.request.BodyBytes > 0) && room.Compare(now, &waiting.claim, &ticket.claim) <= 0 {
 			return true
 		}
 	}
@@ -51,13 +43,15 @@
 }
 
 // linkWait returns how long a request waits for room on the link for its body.
-func (c *Controller) linkWait(ticket *Ticket) time.Duration {
+func (c *Controller) linkWait(now time.Time, ticket *Ticket) time.Duration {
 	if ticket.request.BodyBytes == 0 {
 		return 0
 	}
 	var ahead int64
-	for _, waiting := range c.queue[:c.queuePosition(ticket.rank)] {
-		ahead += waiting.request.BodyBytes
+	for _, waiting := range c.queue {
+		if room.Compare(now, &waiting.claim, &ticket.claim) <= 0 {
+			ahead += waiting.request.BodyBytes
+		}
 	}
 	return c.link.Wait(ticket.request.BodyBytes, ahead)
 }
@@ -76,9 +70,12 @@
 		}
 		return c.waiting() < length
 	}
+	if ticket.claim.IsLate(now) && c.lateCount(now) >= c.maxLate() {
+		return c.isNextInTurn(now, ticket)
+	}
 	serviceTime := time.Duration(serviceTimeMargin * float64(c.serviceTimes.of(request.Route)))
 	expected := c.expectedQueueTime(now, ticket) + serviceTime
-	return !now.Add(expected).After(c.latestAnswer(now, ticket))
+	return !now.Add(expected).After(c.latestAnswer(now, ticket)) || c.isNextInTurn(now, ticket)
 }
 
 // serviceTimeMargin is the multiple of the average service time that has to fit between the
@@ -86,6 +83,20 @@
 // answers late in an overload.
 const serviceTimeMargin = 1.5
 
+// isNextInTurn tells whether a request may wait although more urgent ones keep every slot in use, since
+// no other one of its priority waits for the turn of the less urgent requests.
+func (c *Controller) isNextInTurn(now time.Time, ticket *Ticket) bool {
+	isPassedOver := false
+	for _, waiting := range c.queue {
+		if waiting.claim.Priority >= ticket.claim.Priority {
+			return false
+		}
+		isPassedOver = true
+	}
+	turn := time.Duration(maxPassedOver) * c.serviceTimes.overall / time.Duration(max(c.limit(), 1))
+	return isPassedOver && !now.Add(turn+ticket.claim.ServiceTime).After(ticket.request.Deadline)
+}
+
 // urgentLookupShare is the share of the time to its deadline within which a lookup may be
 // answered, even after its target, if other routes of the service rank behind it. Such lookups
 // are short and wait at the head of the queue, and refusing one can waste the work of a caller
@@ -96,7 +107,11 @@
 // latestAnswer returns the time by which a request has to be answered to be worth queueing.
 func (c *Controller) latestAnswer(now time.Time, ticket *Ticket) time.Time {
 	target := ticket.request.Target
-	if ticket.rank >= c.maxRank || ticket.class != core.ClassLookup {
+	if ticket.claim.IsLate(now) {
+		// It can wait for a time without others, but for no longer than its answer is of use.
+		return ticket.request.Deadline
+	}
+	if ticket.class != core.ClassLookup || !isMoreUrgent(&ticket.claim, &c.lastClaim) {
 		return target
 	}
 	left := time.Duration(urgentLookupShare * float64(ticket.request.Deadline.Sub(now)))
@@ -106,15 +121,26 @@
 	return target
 }
 
-// maxRankOf returns the highest rank of the routes that map to a service.
-func maxRankOf(snapshot *core.Snapshot, service core.ServiceName) int {
-	highest := 0
+// lastClaimOf returns the claim of the least urgent of the routes that map to a service.
+func lastClaimOf(snapshot *core.Snapshot, service core.ServiceName) room.Claim {
+	last := room.Claim{
+		IsLookup: true,
+	}
 	for _, route := range snapshot.Routes {
-		if mapsTo(route, service) {
-			highest = max(highest, rankOf(route, route.Priority))
+		claim := room.Claim{
+			Priority: route.Priority,
+			IsLookup: route.Class == core.ClassLookup,
+		}
+		if mapsTo(route, service) && isMoreUrgent(&last, &claim) {
+			last = claim
 		}
 	}
-	return highest
+	return last
+}
+
+// isMoreUrgent compares claims by what does not depend on the time.
+func isMoreUrgent(a, b *room.Claim) bool {
+	return a.Priority < b.Priority || a.Priority == b.Priority && a.IsLookup && !b.IsLookup
 }
 
 func mapsTo(route core.RouteSpec, service core.ServiceName) bool {
@@ -129,24 +155,31 @@
 
 // expectedQueueTime estimates the queue time of a new request.
 func (c *Controller) expectedQueueTime(now time.Time, ticket *Ticket) time.Duration {
-	serviceTime := c.serviceTimes.overall
-	if serviceTime == 0 && !ticket.request.Target.IsZero() {
-		serviceTime = time.Duration(defaultServiceTimeShare * float64(ticket.request.Target.Sub(now)))
-	}
-	return max(c.queueTimeForRank(now, ticket.rank, serviceTime), c.linkWait(ticket))
+	return max(c.queueTime(now, &ticket.claim), c.linkWait(now, ticket))
 }
 
-// queueTimeForRank returns the queue time of a new request of a rank if each request has the given
-// service time.
-func (c *Controller) queueTimeForRank(now time.Time, rank int, serviceTime time.Duration) time.Duration {
-	ahead := time.Duration(c.queuePosition(rank))
+// queueTime returns the queue time of a new request with a claim: until the slots have worked off the
+// requests ahead of it and those that will come ahead of it meanwhile.
+func (c *Controller) queueTime(now time.Time, claim *room.Claim) time.Duration {
+	mean := c.serviceTimes.overall
+	if mean == 0 && !claim.Target.IsZero() {
+		mean = time.Duration(defaultServiceTimeShare * float64(claim.Target.Sub(now)))
+	}
+	ahead, work := 0, time.Duration(0)
+	for _, waiting := range c.queue {
+		if room.Compare(now, &waiting.claim, claim) <= 0 {
+			ahead++
+			work += cmp.Or(waiting.claim.ServiceTime, mean)
+		}
+	}
 	var wait time.Duration
 	if free := c.limit() - c.inFlight; free <= 0 {
-		wait = (ahead + 1) * serviceTime / time.Duration(max(c.limit(), 1))
+		wait = (work + mean) / time.Duration(max(c.limit(), 1))
+		wait = time.Duration(float64(wait) / (1 - c.demand.UrgentShare(now, claim.Priority, c.limit())))
 	}
 	if c.isCold(now) {
 		perSecond := c.coldPerSecond()
-		coldWait := ahead * time.Second / time.Duration(perSecond)
+		coldWait := time.Duration(ahead) * time.Second / time.Duration(perSecond)
 		if c.starts.remaining(now, perSecond) == 0 {
 			coldWait += max(c.starts.nextFree(perSecond).Sub(now), 0)
 		}
@@ -172,6 +205,7 @@
 		c.recordAnswerAt(now)
 	}
 	c.inFlight++
+	c.demand.Add(now, ticket.claim.Priority, ticket.claim.ServiceTime)
 	ticket.arrivingBytes = ticket.request.BodyBytes
 	c.link.Begin(ticket.arrivingBytes)
 	ticket.answersPerSecond = c.expectedAnswers(ticket.request.Route)
@@ -190,7 +224,7 @@
 	if ticket.request.Deadline.Before(ticket.waitDeadline) {
 		ticket.waitDeadline = ticket.request.Deadline
 	}
-	c.queue = slices.Insert(c.queue, c.queuePosition(ticket.rank), ticket)
+	c.queue = append(c.queue, ticket)
 	return Decision{
 		Wait:         true,
 		WaitDeadline: ticket.waitDeadline,
@@ -235,16 +269,15 @@
 	})
 }
 
-// grant gives free slots to waiting requests in the order of the queue, and refuses those
-// whose wait has timed out. Requests whose bodies find no room on the link are passed over.
+// grant gives free slots to waiting requests, and refuses those whose wait has timed out. Requests
+// whose bodies find no room on the link are passed over.
 func (c *Controller) grant(now time.Time) {
-	for i := 0; i < c.waiting() && c.inFlight < c.limit() && c.allowsStart(now); {
-		ticket := c.queue[i]
-		if !c.link.HasRoom(ticket.request.BodyBytes) {
-			i++
-			continue
+	for c.inFlight < c.limit() && c.allowsStart(now) {
+		ticket := c.next(now)
+		if ticket == nil {
+			break
 		}
-		c.queue = slices.Delete(c.queue, i, i+1)
+		c.remove(ticket)
 		wake := Wake{
 			Ticket: ticket,
 		}
@@ -256,8 +289,124 @@
 			wake.Kind, wake.Detail = c.busyKind(now), "no slot became free in time"
 			c.releaseWaiting(ticket)
 		default:
+			c.countPassedOver(ticket)
 			c.start(now, ticket)
 		}
 		c.wakes = append(c.wakes, wake)
 	}
+	c.boundLate(now)
+}
+
+// maxPassedOver is the number of grants after which the least urgent waiting request gets the next
+// slot. Its requests thus get a small share of the slots however many more urgent ones there are.
+const maxPassedOver = 16
+
+// next returns the waiting request that gets the next free slot, nil if none can run.
+func (c *Controller) next(now time.Time) *Ticket {
+	var next, last *Ticket
+	for _, ticket := range c.queue {
+		if !c.link.HasRoom(ticket.request.BodyBytes) {
+			continue
+		}
+		if next == nil || room.Compare(now, &ticket.claim, &next.claim) < 0 {
+			next = ticket
+		}
+		if last == nil || ticket.claim.Priority > last.claim.Priority {
+			last = ticket
+		}
+	}
+	if c.passedOver >= maxPassedOver {
+		return last
+	}
+	return next
+}
+
+// countPassedOver counts a grant for which a less urgent request has to wait on.
+func (c *Controller) countPassedOver(granted *Ticket) {
+	for _, ticket := range c.queue {
+		if ticket.claim.Priority > granted.claim.Priority {
+			c.passedOver++
+			return
+		}
+	}
+	c.passedOver = 0
+}
+
+func (c *Controller) remove(ticket *Ticket) {
+	if i := slices.Index(c.queue, ticket); i >= 0 {
+		c.queue = slices.Delete(c.queue, i, i+1)
+	}
+}
+
+// maxLate returns the number of requests that may wait although they will be answered late. They get
+// slots that nobody else needs, so more of them than there are slots would wait in vain.
+func (c *Controller) maxLate() int {
+	return c.limit()
+}
+
+func (c *Controller) lateCount(now time.Time) int {
+	count := 0
+	for _, ticket := range c.queue {
+		if ticket.claim.IsLate(now) {
+			count++
+		}
+	}
+	return count
+}
+
+// boundLate refuses late requests beyond the bound, the least urgent ones first and among them those
+// with the least time left.
+func (c *Controller) boundLate(now time.Time) {
+	for excess := c.lateCount(now) - c.maxLate(); excess > 0; excess-- {
+		var worst *Ticket
+		for _, ticket := range c.queue {
+			if ticket.claim.IsLate(now) && (worst == nil || costsLess(&ticket.claim, &worst.claim)) {
+				worst = ticket
+			}
+		}
+		c.refuseOne(worst, c.busyKind(now), "others will be answered in time")
+	}
+}
+
+// costsLess reports whether the refusal of a late request costs callers less than that of another.
+func costsLess(a, b *room.Claim) bool {
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	return a.Deadline.Before(b.Deadline)
+}
+
+// minMoveTime is the time that a displaced request has to have left until its latest start, so that
+// another upstream can answer it in time.
+const minMoveTime = 60 * time.Millisecond
+
+// displace refuses a waiting request that a new one has made late: the one that is last in the order,
+// if another upstream can still answer it in time.
+func (c *Controller) displace(now time.Time) {
+	var last *Ticket
+	for _, ticket := range c.queue {
+		if !ticket.claim.Target.IsZero() && !ticket.claim.IsLate(now) && (last == nil || room.Compare(now, &ticket.claim, &last.claim) > 0) {
+			last = ticket
+		}
+	}
+	if last == nil {
+		return
+	}
+	latestStart := last.claim.LatestStart()
+	// The claim itself is among those counted as ahead.
+	expected := c.queueTime(now, &last.claim) - last.claim.ServiceTime/time.Duration(max(c.limit(), 1))
+	if now.Add(expected).After(latestStart) && latestStart.Sub(now) >= minMoveTime {
+		c.refuseOne(last, core.Displaced, "more urgent requests came first")
+	}
+}
+
+// refuseOne refuses a waiting request.
+func (c *Controller) refuseOne(ticket *Ticket, kind core.ErrorKind, detail string) {
+	c.remove(ticket)
+	c.releaseWaiting(ticket)
+	c.wakes = append(c.wakes, Wake{
+		Ticket: ticket,
+		Kind:   kind,
+		Detail: detail,
+	})
 }
--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -51,7 +51,7 @@
 		return nil
 	}
 	c.service = c.snapshot.Services[c.serviceName()]
-	c.maxRank = maxRankOf(c.snapshot, c.serviceName())
+	c.lastClaim = lastClaimOf(c.snapshot, c.serviceName())
 	c.refuseWaiting(func(ticket *Ticket) (core.ErrorKind, string) {
 		_, kind, detail := c.check(&ticket.request)
 		return kind, detail
@@ -146,12 +146,12 @@
 func (c *Controller) Estimate(now time.Time, route core.RouteName) Estimate {
 	spec := c.snapshot.Routes[route]
 	serviceTime := c.serviceTimes.of(route)
-	overall := c.serviceTimes.overall
-	if overall == 0 {
-		overall = time.Duration(defaultServiceTimeShare * float64(spec.LatencyTarget))
-	}
+	claim := c.claimOf(&spec, &Request{
+		Route:  route,
+		Target: now.Add(time.Duration(spec.LatencyTarget)),
+	})
 	return Estimate{
-		QueueTime:    c.queueTimeForRank(now, rankOf(spec, spec.Priority), overall),
+		QueueTime:    c.queueTime(now, &claim),
 		ServiceTime:  serviceTime,
 		FailureRatio: c.serviceTimes.failureRatio,
 	}
--- a/core/kind.go
+++ b/core/kind.go
@@ -20,6 +20,7 @@
 	DepthExceeded     ErrorKind = "depthExceeded"
 	Limited           ErrorKind = "limited"
 	Overloaded        ErrorKind = "overloaded"
+	Displaced         ErrorKind = "displaced"
 	Cold              ErrorKind = "cold"
 	Leaving           ErrorKind = "leaving"
 	ZoneOut           ErrorKind = "availabilityZoneOut"
@@ -91,6 +92,7 @@
 	{Kind: DepthExceeded, Status: http.StatusLoopDetected, NotRun: true, Meaning: "The chain of calls is longer than 8.", Action: "Look for a loop between services."},
 	{Kind: Limited, Status: http.StatusTooManyRequests, NotRun: true, Meaning: "A limit of the route or tenant is reached.", Action: "Send it later, or raise the limit by a note."},
 	{Kind: Overloaded, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "Every slot of the upstream is in use.", Action: "Send it later."},
+	{Kind: Displaced, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "The request waited for a slot, and more urgent ones came first.", Action: "Send it later."},
 	{Kind: Cold, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "The upstream is in a cold start and has no free slot.", Action: "Send it later."},
 	{Kind: Leaving, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "The upstream or daemon is leaving.", Action: "Use another daemon."},
 	{Kind: ZoneOut, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Meaning: "The availability zone is taken out.", Action: "None: other availability zones serve the requests."},
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -278,7 +278,14 @@
 
 // isCapacityRefusal reports whether a gatekeeper refused the attempt for lack of capacity.
 func (r result) isCapacityRefusal() bool {
-	return !r.failure.ReachedUpstream && (r.failure.Kind == core.Overloaded || r.failure.Kind == core.Cold)
+	if r.failure.ReachedUpstream {
+		return false
+	}
+	switch r.failure.Kind {
+	case core.Overloaded, core.Cold, core.Displaced:
+		return true
+	}
+	return false
 }
 
 // setAttemptHeaders sets the headers for the gatekeeper that may differ between attempts.
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -205,6 +205,7 @@
 		c.ticket.Owner = c
 		c.wake = make(chan admit.Wake, 1)
 	}
+	g.deliverWakes(g.admission.Displaced())
 	c.inFlight, c.limit = g.load(now)
 	c.retryAfter = decision.RetryAfter
 	g.scheduleGrant(now)
