room, proxy: a request that comes back is recognized by its time left

Its latency counts from the first attempt, which is estimated from the time that callers of the route usually have left.

--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -15,6 +15,7 @@
 	"verbenaway/core"
 	"verbenaway/core/dedup"
 	"verbenaway/core/retry"
+	"verbenaway/core/room"
 	"verbenaway/core/route"
 )
 
@@ -97,6 +98,25 @@
 	routeBudgets map[core.RouteName]core.RetryBudget
 	// serviceBudgets are used instead of routeBudgets if EntryConfig.NewBudget is set.
 	serviceBudgets map[core.ServiceName]core.RetryBudget
+	// patience is nil without a Dialect.
+	patience map[core.RouteName]*routePatience
+}
+
+// routePatience is the room.Patience of the callers of one route.
+type routePatience struct {
+	mu sync.Mutex
+	// patience is nil until the first request, since most routes of a configuration may be idle.
+	patience *room.Patience
+}
+
+// observe is Patience.Observe.
+func (p *routePatience) observe(left time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.patience == nil {
+		p.patience = new(room.Patience)
+	}
+	return p.patience.Observe(left)
 }
 
 // NewEntry returns an entry that is ready to serve requests.
@@ -282,7 +302,8 @@
 	return view
 }
 
-// newView keeps the retry budgets of routes and services that the previous view has.
+// newView keeps the retry budgets of routes and services that the previous view has, and what is known
+// of the patience of callers.
 func (e *Entry) newView(snapshot *core.Snapshot, previous *entryView, now time.Time) *entryView {
 	view := &entryView{
 		table:          route.NewTable(snapshot),
@@ -297,6 +318,14 @@
 	} else {
 		view.table.InheritSplits(previous.table)
 	}
+	if e.config.Dialect != nil {
+		view.patience = make(map[core.RouteName]*routePatience, len(snapshot.Routes))
+		for name := range snapshot.Routes {
+			if view.patience[name] = previous.patience[name]; view.patience[name] == nil {
+				view.patience[name] = new(routePatience)
+			}
+		}
+	}
 	if e.config.NewBudget != nil {
 		for name := range snapshot.Services {
 			if view.serviceBudgets[name] = previous.serviceBudgets[name]; view.serviceBudgets[name] == nil {
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -209,6 +209,8 @@
 // setDeadline applies the shorter of the route's and the caller's timeout.
 func (c *call) setDeadline() (core.ErrorKind, string) {
 	timeout := time.Duration(c.route.Spec.Timeout)
+	// spent is the time that the caller has spent on earlier attempts.
+	var spent time.Duration
 	if dialect := c.entry.config.Dialect; dialect != nil {
 		callerTimeout, ok, err := dialect.Timeout(c.request.Header)
 		if err != nil {
@@ -216,6 +218,7 @@
 		}
 		if ok {
 			timeout = min(timeout, callerTimeout)
+			spent = c.view.patience[c.route.Spec.Name].observe(callerTimeout)
 		}
 	} else if text := firstValue(c.request.Header, keyTimeout); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 64)
@@ -232,7 +235,7 @@
 	}
 	c.deadline = c.entry.config.Clock.Now().Add(timeout)
 	if target := time.Duration(c.route.Spec.LatencyTarget); target > 0 {
-		c.target = c.started.Add(min(target, timeout))
+		c.target = c.started.Add(min(target-spent, timeout))
 	}
 	c.ctx, c.cancel = context.WithTimeout(c.request.Context(), timeout)
 	return "", ""
