--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -103,6 +103,8 @@
 	Ticket *Ticket
 	Kind   core.ErrorKind
 	Detail string
+	// RetryAfter is the time after which a refused request may get a slot, 0 if unknown.
+	RetryAfter time.Duration
 }
 
 // Controller is the admission control of one upstream. It is not safe for concurrent use.
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -87,17 +87,23 @@
 const shortWaitShare = 0.1
 
 // isNextInTurn tells whether a request may wait although more urgent ones keep every slot in use, since
-// no other one of its priority waits for the turn of the less urgent requests.
+// no other one waits for the turn of the less urgent requests.
 func (c *Controller) isNextInTurn(now time.Time, ticket *Ticket) bool {
-	isPassedOver := false
+	if c.waiting() == 0 || !c.isLeastUrgent(ticket) {
+		return false
+	}
+	turn := time.Duration(maxPassedOver) * c.serviceTimes.overall / time.Duration(max(c.limit(), 1))
+	return !now.Add(turn + ticket.claim.ServiceTime).After(ticket.request.Deadline)
+}
+
+// isLeastUrgent tells whether all other waiting requests are more urgent than a given one.
+func (c *Controller) isLeastUrgent(ticket *Ticket) bool {
 	for _, waiting := range c.queue {
-		if waiting.claim.Priority >= ticket.claim.Priority {
+		if waiting != ticket && waiting.claim.Priority >= ticket.claim.Priority {
 			return false
 		}
-		isPassedOver = true
 	}
-	turn := time.Duration(maxPassedOver) * c.serviceTimes.overall / time.Duration(max(c.limit(), 1))
-	return isPassedOver && !now.Add(turn+ticket.claim.ServiceTime).After(ticket.request.Deadline)
+	return true
 }
 
 // urgentLookupShare is the share of the time to its deadline within which a lookup may be
@@ -367,7 +373,7 @@
 				worst = ticket
 			}
 		}
-		c.refuseOne(worst, c.busyKind(now), "others will be answered in time")
+		c.refuseOne(now, worst, c.busyKind(now), "others will be answered in time")
 	}
 }
 
@@ -384,7 +390,8 @@
 const minMoveTime = 60 * time.Millisecond
 
 // displace refuses a waiting request that a new one has made late: the one that is last in the order,
-// if another upstream can still answer it in time.
+// if another upstream can still answer it in time. The one that waits for the turn of the less urgent
+// requests stays.
 func (c *Controller) displace(now time.Time) {
 	var last *Ticket
 	for _, ticket := range c.queue {
@@ -392,24 +399,25 @@
 			last = ticket
 		}
 	}
-	if last == nil {
+	if last == nil || c.isLeastUrgent(last) {
 		return
 	}
 	latestStart := last.claim.LatestStart()
 	// The claim itself is among those counted as ahead.
 	expected := c.queueTime(now, &last.claim) - last.claim.ServiceTime/time.Duration(max(c.limit(), 1))
 	if now.Add(expected).After(latestStart) && latestStart.Sub(now) >= minMoveTime {
-		c.refuseOne(last, core.Displaced, "more urgent requests came first")
+		c.refuseOne(now, last, core.Displaced, "more urgent requests came first")
 	}
 }
 
-// refuseOne refuses a waiting request.
-func (c *Controller) refuseOne(ticket *Ticket, kind core.ErrorKind, detail string) {
+// refuseOne refuses a waiting request because of those that wait before it.
+func (c *Controller) refuseOne(now time.Time, ticket *Ticket, kind core.ErrorKind, detail string) {
 	c.remove(ticket)
 	c.releaseWaiting(ticket)
 	c.wakes = append(c.wakes, Wake{
-		Ticket: ticket,
-		Kind:   kind,
-		Detail: detail,
+		Ticket:     ticket,
+		Kind:       kind,
+		Detail:     detail,
+		RetryAfter: c.expectedQueueTime(now, ticket),
 	})
 }
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -159,6 +159,29 @@
 	c.Assert(demand.UrgentShare(at(10_000), 2, 4) < 0.01, qt.IsTrue)
 }
 
+// TestReturnAfter answers the pattern "a wave of retries after refusals". It guards against callers that
+// come back at once though they cannot be in time, and against ones that come back too late for that.
+func TestReturnAfter(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		name                                            string
+		roomAfter, answerTime, targetLeft, deadlineLeft time.Duration
+		random                                          float64
+		want                                            time.Duration
+	}{
+		{"can be in time", 100 * ms, 50 * ms, 300 * ms, 2000 * ms, 0.9, 100 * ms},
+		{"late, first", 100 * ms, 250 * ms, 300 * ms, 2000 * ms, 0, 100 * ms},
+		{"late, last", 100 * ms, 250 * ms, 300 * ms, 2000 * ms, 1, 500 * ms},
+		{"past the target", 100 * ms, 50 * ms, -10 * ms, 900 * ms, 0.5, 162500 * time.Microsecond},
+		{"no time left", 100 * ms, 50 * ms, 0, 200 * ms, 0.5, 100 * ms},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			qt.Check(t, room.ReturnAfter(tc.roomAfter, tc.answerTime, tc.targetLeft, tc.deadlineLeft, tc.random), qt.Equals, tc.want)
+		})
+	}
+}
+
 // TestMargin guards against a queue that makes most answers late while there is more work than room, and
 // against refusals of requests that would mostly be in time while there is enough room.
 func TestMargin(t *testing.T) {
--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -90,6 +90,11 @@
 	upstream        *upstream
 }
 
+// ExpectedLatency returns the time within which an answer is expected, 0 without an upstream.
+func (c *Choice) ExpectedLatency() time.Duration {
+	return c.expectedLatency
+}
+
 // NewBalancer returns a balancer without state; upstreams are added by the first queries.
 func NewBalancer(config BalancerConfig) *Balancer {
 	b := &Balancer{
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -10,6 +10,7 @@
 
 	"verbenaway/core"
 	"verbenaway/core/retry"
+	"verbenaway/core/room"
 	"verbenaway/core/route"
 )
 
@@ -450,7 +451,7 @@
 		status = dialect.SetRefusalHeaders(c.reply.w.Header(), core.Refusal{
 			Kind:       kind,
 			RequestID:  dialect.RequestID(c.request.Header),
-			RetryAfter: c.retryAfter,
+			RetryAfter: c.returnAfter(kind),
 		})
 	}
 	c.logAnswer(kind, status, detail)
@@ -460,6 +461,22 @@
 	}
 }
 
+// returnAfter returns when the caller of a request that found no room should come back, 0 if unknown.
+func (c *call) returnAfter(kind core.ErrorKind) time.Duration {
+	switch kind {
+	case core.Overloaded, core.Displaced, core.Cold:
+	default:
+		return c.retryAfter
+	}
+	if c.target.IsZero() || c.callerDeadline.IsZero() {
+		return c.retryAfter
+	}
+	config := &c.entry.config
+	now := config.Clock.Now()
+	random := float64(config.Random()>>11) / (1 << 53)
+	return room.ReturnAfter(c.retryAfter, c.choice.ExpectedLatency(), c.target.Sub(now), c.callerDeadline.Sub(now), random)
+}
+
 func isCanceled(kind core.ErrorKind) bool {
 	return kind == core.Canceled || kind == core.CanceledBeforeRun
 }
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -242,9 +242,11 @@
 // the meantime.
 func (c *gateCall) handleWake(wake admit.Wake) (core.ErrorKind, string) {
 	if wake.Kind != "" {
+		c.retryAfter = wake.RetryAfter
 		return wake.Kind, wake.Detail
 	}
 	c.gate.counters.Admitted.Add(1)
+	c.countWait()
 	if snapshot, kind := c.gate.config.Config.Snapshot(); snapshot == nil {
 		c.gate.finish(&c.ticket, false)
 		return kind, "the daemon confirms its view"
@@ -252,6 +254,14 @@
 	return "", ""
 }
 
+// countWait counts the wait of a request that got a slot.
+func (c *gateCall) countWait() {
+	priority := strconv.Itoa(c.snapshot.RequestPriority(&c.route, c.admitRequest.Tenant))
+	counters := &c.gate.counters
+	counters.Waits.Add(priority, 1)
+	counters.WaitedMs.Add(priority, c.gate.config.Clock.Now().Sub(c.started).Milliseconds())
+}
+
 // configure applies the configuration and the registration of the upstream. The caller holds mu.
 func (g *Gate) configure(now time.Time, snapshot *core.Snapshot) {
 	if snapshot != nil {
--- a/io/proxy/gate_events.go
+++ b/io/proxy/gate_events.go
@@ -29,6 +29,10 @@
 	Probes expvar.Int
 	// Refused counts refusals by error kind.
 	Refused expvar.Map
+	// Waits counts the requests that got a slot after a wait, by priority, and WaitedMs sums up their
+	// waits.
+	Waits    expvar.Map
+	WaitedMs expvar.Map
 }
 
 // gateRefusals aggregates refusals into one event per kind and second.
