room, proxy: a returning request has the path and deadline of a failed one

The search goes on for a last chance only while 60 ms are left, as a request sent later is answered to nobody.

--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -8,7 +8,6 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"verbenaway/core"
 	"verbenaway/core/room"
 )
 
@@ -120,21 +119,21 @@
 func TestReturns(t *testing.T) {
 	c := qt.New(t)
 	var returns room.Returns
-	returns.Add("read", at(2000), at(0))
-	returns.Add("read", at(2004), at(20))
+	returns.Add("/read/7", at(2000), at(0))
+	returns.Add("/read/7", at(2004), at(20))
 	for _, tc := range []struct {
-		name  string
-		route core.RouteName
+		name string
+		path string
 		// deadline and first are in milliseconds; first is -1 for a new request.
 		deadline, first int
 	}{
-		{"another route", "write", 2000, -1},
-		{"another deadline", "read", 2050, -1},
-		{"the closest", "read", 2003, 20},
-		{"with another way", "read", 2005, 0},
-		{"each only once", "read", 2000, -1},
+		{"another path", "/read/8", 2000, -1},
+		{"another deadline", "/read/7", 2050, -1},
+		{"the closest", "/read/7", 2003, 20},
+		{"with another way", "/read/7", 2005, 0},
+		{"each only once", "/read/7", 2000, -1},
 	} {
-		first, ok := returns.Take(tc.route, at(tc.deadline))
+		first, ok := returns.Take(tc.path, at(tc.deadline))
 		c.Assert(ok, qt.Equals, tc.first >= 0, qt.Commentf("%s", tc.name))
 		if ok {
 			c.Assert(first, qt.Equals, at(tc.first), qt.Commentf("%s", tc.name))
@@ -195,9 +194,9 @@
 func BenchmarkTakeReturn(b *testing.B) {
 	var returns room.Returns
 	for i := range 300 {
-		returns.Add("read", at(i*10), at(0))
+		returns.Add("/read/7", at(i*10), at(0))
 	}
 	for b.Loop() {
-		returns.Take("read", at(4000))
+		returns.Take("/read/7", at(4000))
 	}
 }
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -108,17 +108,17 @@
 }
 
 // add is Returns.Add.
-func (r *returns) add(route core.RouteName, deadline, first time.Time) {
+func (r *returns) add(path string, deadline, first time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.returns.Add(route, deadline, first)
+	r.returns.Add(path, deadline, first)
 }
 
 // take is Returns.Take.
-func (r *returns) take(route core.RouteName, deadline time.Time) (time.Time, bool) {
+func (r *returns) take(path string, deadline time.Time) (time.Time, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.returns.Take(route, deadline)
+	return r.returns.Take(path, deadline)
 }
 
 // NewEntry returns an entry that is ready to serve requests.
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -201,13 +201,13 @@
 	// take that long.
 	minSearchTime = 60 * time.Millisecond
 	// minReturnTime is the time left from which a caller can come back after a refusal. With less, a
-	// refusal is the end of the request, so that the search goes on.
+	// refusal is the end of the request, so that the search goes on as long as it can succeed.
 	minReturnTime = 150 * time.Millisecond
 )
 
 // isSearchOver reports whether the limits on refusals for lack of capacity are reached.
 func (c *call) isSearchOver(now time.Time) bool {
-	if c.deadline.Sub(now) < minReturnTime {
+	if c.isLastChance(now) {
 		return false
 	}
 	target := c.target
@@ -218,6 +218,13 @@
 	return c.capacityRefusals >= maxCapacityRefusals || now.Sub(c.started) > limit
 }
 
+// isLastChance reports whether the caller could not come back in time after a refusal, while an answer
+// may still be in time.
+func (c *call) isLastChance(now time.Time) bool {
+	left := c.deadline.Sub(now)
+	return left >= minSearchTime && left < minReturnTime && !c.callerDeadline.After(c.deadline)
+}
+
 // refresh applies the newest configuration before another attempt, which may come seconds after
 // the first one. An availability zone may have been taken out or the home regions changed since.
 func (c *call) refresh() (core.ErrorKind, string) {
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -244,7 +244,7 @@
 // first attempt.
 func (c *call) setFirstAttempt(callerTimeout time.Duration) {
 	c.callerDeadline = c.started.Add(callerTimeout)
-	if first, ok := c.entry.returns.take(c.route.Spec.Name, c.callerDeadline); ok {
+	if first, ok := c.entry.returns.take(c.request.RequestURI, c.callerDeadline); ok {
 		c.firstStarted = first
 		c.entry.Counters.Returned.Add(1)
 	}
@@ -254,7 +254,7 @@
 func (c *call) recordFailed() {
 	isAnswered := c.reply.status != 0 && c.reply.status < http.StatusInternalServerError
 	if !c.callerDeadline.IsZero() && !isAnswered {
-		c.entry.returns.add(c.route.Spec.Name, c.callerDeadline, c.firstStarted)
+		c.entry.returns.add(c.request.RequestURI, c.callerDeadline, c.firstStarted)
 	}
 }
 
