room: a slow sender does not keep the link from others

Cause: a body counted until it had arrived, so that one caller that sends slowly kept all other uploads waiting while the link was idle.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -71,10 +71,10 @@
 	// answersPerSecond is the part of this request in Controller.answersPerSecond.
 	answersPerSecond float64
 	waitDeadline     time.Time
-	// arrivingBytes is the part of this request in Controller.link.
-	arrivingBytes int64
-	routeLimits   []*requestLimit
-	tenantLimits  []*requestLimit
+	// body is that of this request in Controller.link, nil if it has none or has arrived.
+	body         *room.Body
+	routeLimits  []*requestLimit
+	tenantLimits []*requestLimit
 }
 
 type ticketState int
@@ -289,7 +289,7 @@
 // the next call.
 func (c *Controller) BodyArrived(now time.Time, ticket *Ticket) []Wake {
 	c.wakes = c.wakes[:0]
-	if ticket.arrivingBytes == 0 {
+	if ticket.body == nil {
 		return nil
 	}
 	c.endBody(ticket)
@@ -298,8 +298,10 @@
 }
 
 func (c *Controller) endBody(ticket *Ticket) {
-	c.link.End(ticket.arrivingBytes)
-	ticket.arrivingBytes = 0
+	if ticket.body != nil {
+		c.link.End(ticket.body)
+		ticket.body = nil
+	}
 }
 
 // Finish frees the slot of a request; success means that it got a complete answer. The result
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -27,7 +27,7 @@
 // requests has to warm up too.
 func (c *Controller) canRun(now time.Time, ticket *Ticket) bool {
 	limit := c.limit()
-	if c.inFlight >= limit || !c.allowsStart(now) || !c.link.HasRoom(ticket.request.BodyBytes) {
+	if c.inFlight >= limit || !c.allowsStart(now) || !c.link.HasRoom(now, ticket.request.BodyBytes) {
 		return false
 	}
 	return ticket.class != core.ClassBulk || c.bulkInFlight < max(1, limit-c.service.ReservedSlots)
@@ -55,7 +55,7 @@
 			ahead += waiting.request.BodyBytes
 		}
 	}
-	return c.link.Wait(ticket.request.BodyBytes, ahead)
+	return c.link.Wait(now, ticket.request.BodyBytes, ahead)
 }
 
 // canWait tells whether a request that cannot run at once may wait. One whose answer would
@@ -215,8 +215,7 @@
 	}
 	c.inFlight++
 	c.demand.Add(now, ticket.claim.Priority, ticket.claim.ServiceTime)
-	ticket.arrivingBytes = ticket.request.BodyBytes
-	c.link.Begin(ticket.arrivingBytes)
+	ticket.body = c.link.Begin(now, ticket.request.BodyBytes)
 	ticket.answersPerSecond = c.expectedAnswers(ticket.request.Route)
 	c.answersPerSecond += ticket.answersPerSecond
 	if c.service.ColdRate > 0 {
@@ -314,7 +313,7 @@
 func (c *Controller) next(now time.Time) *Ticket {
 	var next, last *Ticket
 	for _, ticket := range c.queue {
-		if !c.link.HasRoom(ticket.request.BodyBytes) {
+		if !c.link.HasRoom(now, ticket.request.BodyBytes) {
 			continue
 		}
 		if next == nil || room.Compare(now, &ticket.claim, &next.claim) < 0 {
--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -107,12 +107,16 @@
 }
 
 // NextGrant returns the time at which the caller has to call Grant, because the rate limit of a
-// cold start then lets a waiting request start; zero if no request waits for that limit.
+// cold start then lets a waiting request start, or the link has room for its body; zero if no request
+// waits for either.
 func (c *Controller) NextGrant(now time.Time) time.Time {
-	if c.waiting() == 0 || c.inFlight >= c.limit() || !c.isCold(now) {
+	if c.waiting() == 0 || c.inFlight >= c.limit() {
 		return time.Time{}
 	}
-	return c.starts.nextFree(c.coldPerSecond())
+	if c.isCold(now) {
+		return c.starts.nextFree(c.coldPerSecond())
+	}
+	return c.link.NextRoom()
 }
 
 // Grant starts the waiting requests that now may run. The result is valid until the next call.
