room, proxy: no attempts at upstreams that have no room before the deadline

Gatekeepers say in a refusal when they expect room for the route; the entry now refuses at once if that is after the deadline at the best upstream.

--- a/core/admit/room_test.go
+++ b/core/admit/room_test.go
@@ -107,8 +107,8 @@
 	c.Assert(rig.late["check"]*100 < rig.count("check"), qt.IsTrue, qt.Commentf("%d late of %d", rig.late["check"], rig.count("check")))
 }
 
-// TestTenantPriority guards against a tenant whose priority does not count in the queue.
-func TestTenantPriority(t *testing.T) {
+// TestTenantBeforeTarget guards against a tenant whose priority counts less than the targets of others.
+func TestTenantBeforeTarget(t *testing.T) {
 	c := qt.New(t)
 	rig := newLoadRig(0)
 	snapshot := &core.Snapshot{
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -155,6 +155,19 @@
 	}
 }
 
+// TestFull answers the pattern "all upstreams of a service start at once". It guards against attempts
+// at upstreams that are known to have no room, and against upstreams that are avoided for good.
+func TestFull(t *testing.T) {
+	c := qt.New(t)
+	var full room.Full
+	c.Assert(full.RoomAfter(start, "check", "h1"), qt.Equals, time.Duration(0))
+	full.Record(start, "check", "h1", time.Second)
+	c.Assert(full.RoomAfter(at(300), "check", "h1"), qt.Equals, 700*time.Millisecond)
+	c.Assert(full.RoomAfter(at(300), "check", "h2"), qt.Equals, time.Duration(0))
+	c.Assert(full.RoomAfter(at(300), "order", "h1"), qt.Equals, time.Duration(0))
+	c.Assert(full.RoomAfter(at(1000), "check", "h1"), qt.Equals, time.Duration(0))
+}
+
 // TestDemand guards against an expected wait that leaves out the more urgent requests that will come
 // in the meantime, and against one that is still long after they have stopped.
 func TestDemand(t *testing.T) {
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -78,6 +78,7 @@
 	transport *entryTransport
 	refusals  *refusalLog
 	returns   returns
+	full      full
 	sender    []string
 	view      atomic.Pointer[entryView]
 	// mu is held while a new view is built.
@@ -121,6 +122,26 @@
 	return r.returns.Take(path, deadline)
 }
 
+// full is a room.Full for concurrent use.
+type full struct {
+	mu   sync.Mutex
+	full room.Full
+}
+
+// record is Full.Record.
+func (f *full) record(now time.Time, route core.RouteName, host core.HostName, roomAfter time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full.Record(now, route, host, roomAfter)
+}
+
+// roomAfter is Full.RoomAfter.
+func (f *full) roomAfter(now time.Time, route core.RouteName, host core.HostName) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.full.RoomAfter(now, route, host)
+}
+
 // NewEntry returns an entry that is ready to serve requests.
 func NewEntry(config EntryConfig) *Entry {
 	if config.Random == nil {
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -263,6 +263,9 @@
 	}
 	balancer := c.entry.balancer
 	defer balancer.Release(c.choice)
+	if r, isFull := c.refuseIfFull(); isFull {
+		return r
+	}
 	c.tried = append(c.tried, c.choice.Host.Name)
 	c.setAttemptHeaders()
 	c.logDecision(core.DecisionSent, result{})
@@ -270,7 +273,11 @@
 	c.entry.Counters.Attempts.Add(1)
 	r := c.send()
 	if !r.answered {
-		balancer.RecordRefusal(c.entry.config.Clock.Now(), c.choice, r.failure.Kind)
+		now := c.entry.config.Clock.Now()
+		balancer.RecordRefusal(now, c.choice, r.failure.Kind)
+		if r.isCapacityRefusal() && r.retryAfter > 0 {
+			c.entry.full.record(now, c.route.Spec.Name, c.choice.Host.Name, r.retryAfter)
+		}
 		if c.choice.HasFreeSlot && r.isCapacityRefusal() && c.entry.config.Dialect != nil {
 			// The upstream had no free slot after all. The request may still queue there if no
 			// other upstream has one.
@@ -280,6 +287,21 @@
 	return r
 }
 
+// refuseIfFull refuses the request if the best upstream is known to have no room before the deadline.
+func (c *call) refuseIfFull() (r result, isFull bool) {
+	if c.entry.config.Dialect == nil {
+		return result{}, false
+	}
+	roomAfter := c.entry.full.roomAfter(c.entry.config.Clock.Now(), c.route.Spec.Name, c.choice.Host.Name)
+	if roomAfter < c.timeLeft() {
+		return result{}, false
+	}
+	r = failedAttempt(core.Overloaded, true, "no upstream has room before the deadline")
+	r.final = true
+	r.retryAfter = roomAfter
+	return r, true
+}
+
 func (c *call) send() result {
 	c.attemptCtx, c.watch = c.watchUnresponsive()
 	defer c.watch.stop()
