room, admit, proxy: bodies of failed uploads still count on the link

Cause: a request that ended before its body had arrived gave up its room on the link at once, although its sender had sent the body or a part of it.

Change: such a body counts for the time that it needs on the link.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -285,25 +285,19 @@
 	c.ramp.suspectRestart()
 }
 
-// BodyArrived reports that the whole body of a running request has arrived. The result is valid until
-// the next call.
+// BodyArrived reports that the whole body of a running request has arrived, or that its sender sends no
+// more of it. The result is valid until the next call.
 func (c *Controller) BodyArrived(now time.Time, ticket *Ticket) []Wake {
 	c.wakes = c.wakes[:0]
 	if ticket.body == nil {
 		return nil
 	}
-	c.endBody(ticket)
+	c.link.End(ticket.body)
+	ticket.body = nil
 	c.grant(now)
 	return c.wakes
 }
 
-func (c *Controller) endBody(ticket *Ticket) {
-	if ticket.body != nil {
-		c.link.End(ticket.body)
-		ticket.body = nil
-	}
-}
-
 // Finish frees the slot of a request; success means that it got a complete answer. The result
 // is valid until the next call.
 func (c *Controller) Finish(now time.Time, ticket *Ticket, success bool) []Wake {
@@ -313,7 +307,10 @@
 	}
 	ticket.state = ticketDone
 	c.inFlight--
-	c.endBody(ticket)
+	if ticket.body != nil {
+		c.link.Abort(now, ticket.body)
+		ticket.body = nil
+	}
 	c.answersPerSecond -= ticket.answersPerSecond
 	if success && !ticket.isFailed {
 		c.serviceTimes.recordDuration(ticket.request.Route, now.Sub(ticket.startedAt))
--- a/core/admit/room_test.go
+++ b/core/admit/room_test.go
@@ -197,8 +197,11 @@
 	c.Assert(wakes, qt.HasLen, 1)
 	c.Assert(wakes[0].Ticket, qt.Equals, second)
 	c.Assert(controller.BodyArrived(rig.now, first), qt.HasLen, 0)
-	// A request that ends without its body gives up its room on the link.
-	c.Assert(controller.Finish(rig.now, second, false), qt.HasLen, 1)
+	// What was sent of a body whose request ends is still on the link.
+	c.Assert(controller.Finish(rig.now, second, false), qt.HasLen, 0)
+	at := controller.NextGrant(rig.now)
+	c.Assert(at, qt.Equals, rig.now.Add(50*time.Millisecond))
+	c.Assert(controller.Grant(at), qt.HasLen, 1)
 }
 
 // BenchmarkLongQueue measures an arrival and an end with hundreds of waiting requests.
--- a/core/room/link.go
+++ b/core/room/link.go
@@ -69,7 +69,15 @@
 	return body
 }
 
-// End ends the count of a body that has arrived or whose request has ended.
+// Abort ends the count of a body whose request has ended before it arrived. What its sender has sent
+// already is still on the link.
+func (l *Link) Abort(now time.Time, body *Body) {
+	if sent := now.Add(l.transferTime(l.arrivingBytes(now))); sent.Before(body.until) {
+		body.until = sent
+	}
+}
+
+// End ends the count of a body that has arrived.
 func (l *Link) End(body *Body) {
 	l.arriving = slices.DeleteFunc(l.arriving, func(other *Body) bool { return other == body })
 }
--- a/core/room/room_test.go
+++ b/core/room/room_test.go
@@ -128,6 +128,20 @@
 	link.End(body)
 }
 
+// TestAbortedBodyIsStillOnLink answers the pattern "an upstream fails uploads as fast as they are let in".
+// It guards against bodies that nobody waits for any more and that fill the link all the same.
+func TestAbortedBodyIsStillOnLink(t *testing.T) {
+	c := qt.New(t)
+	link := room.Link{
+		BytesPerSecond: 1_250_000,
+	}
+	body := link.Begin(start, 100_000)
+	link.Abort(at(5), body)
+	c.Assert(link.HasRoom(at(80), 100_000), qt.IsFalse)
+	c.Assert(link.NextRoom(), qt.Equals, at(85))
+	c.Assert(link.HasRoom(at(85), 100_000), qt.IsTrue)
+}
+
 // TestReturns guards against a request that comes back after a refusal and is taken for a new one, so
 // that it makes others late, and against a new request that is taken for a returned one.
 func TestReturns(t *testing.T) {
--- a/io/proxy/gate_body.go
+++ b/io/proxy/gate_body.go
@@ -17,7 +17,7 @@
 	body io.ReadCloser
 
 	controller *http.ResponseController
-	// onEnd is called when the whole body has been read. Optional.
+	// onEnd is called when the whole body has been read, or the caller sends no more of it. Optional.
 	onEnd func()
 
 	mu        sync.Mutex
@@ -51,16 +51,17 @@
 	b.reading = true
 	b.mu.Unlock()
 	n, err := b.body.Read(p)
-	if b.onEnd != nil && errors.Is(err, io.EOF) {
-		b.onEnd()
-	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	isEnd := err != nil && b.firstErr == nil && !b.isInterrupted
 	b.reading = false
 	if b.firstErr == nil {
 		b.firstErr = err
 	}
 	b.readEnded.Broadcast()
+	b.mu.Unlock()
+	if isEnd && b.onEnd != nil {
+		b.onEnd()
+	}
 	return n, err
 }
 
--- a/io/proxy/room_test.go
+++ b/io/proxy/room_test.go
@@ -123,3 +123,36 @@
 		})
 	}
 }
+
+// TestFullUpstreamIsNotAsked guards against attempts at an upstream that has just said that it has no room
+// before the deadline of the request, and against refusals of requests that it can still serve.
+func TestFullUpstreamIsNotAsked(t *testing.T) {
+	c := qt.New(t)
+	clock := &gateFakeClock{}
+	asked := 0
+	rig := newEntryRig(t, func(config *EntryConfig) {
+		config.Dialect = fakeDialect{}
+		config.NewBudget = func(_ core.ServiceName, now time.Time) core.RetryBudget {
+			return retry.NewWindowBudget(retry.WindowBudgetConfig{Span: time.Second}, now)
+		}
+		config.Clock = fixedClock{base: time.Now(), clock: clock}
+		config.LocalGate = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			asked++
+			w.Header().Set(HeaderRetryAfter, "2000")
+			Refuse(w, core.Cold, "scripted")
+		})
+	}, gateHost("self", ""))
+	ask := func(wait int) (attempts int) {
+		asked = 0
+		request := rig.request("GET", "/lookup", "")
+		request.Header.Set("X-Wait", strconv.Itoa(wait))
+		a := rig.do(request)
+		c.Assert(a.status, qt.Equals, http.StatusServiceUnavailable)
+		return asked
+	}
+	c.Assert(ask(1000), qt.Equals, 1)
+	c.Assert(ask(1000), qt.Equals, 0)
+	c.Assert(ask(5000) > 0, qt.IsTrue)
+	clock.ahead.Store(int64(3 * time.Second))
+	c.Assert(ask(1000), qt.Equals, 1)
+}
