--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -121,9 +121,9 @@
 	queue []*Ticket
 	// passedOver counts the latest grants for which a less urgent request had to wait on.
 	passedOver int
-	// offered averages the work of all requests, and demand that of those that got a slot.
+	// offered averages the work of all requests, and granted that of those that got a slot.
 	offered  room.Demand
-	demand   room.Demand
+	granted  room.Demand
 	draining bool
 	// upstream is the record given to SetUpstream, nil if there is none.
 	upstream         *Upstream
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -184,7 +184,7 @@
 	var wait time.Duration
 	if free := c.limit() - c.inFlight; free <= 0 {
 		wait = (work + mean) / time.Duration(max(c.limit(), 1))
-		wait = time.Duration(float64(wait) / (1 - c.demand.UrgentShare(now, claim.Priority, c.limit())))
+		wait = time.Duration(float64(wait) / (1 - c.granted.UrgentShare(now, claim.Priority, c.limit())))
 	}
 	if c.isCold(now) {
 		perSecond := c.coldPerSecond()
@@ -214,7 +214,7 @@
 		c.recordAnswerAt(now)
 	}
 	c.inFlight++
-	c.demand.Add(now, ticket.claim.Priority, ticket.claim.ServiceTime)
+	c.granted.Add(now, ticket.claim.Priority, ticket.claim.ServiceTime)
 	ticket.body = c.link.Begin(now, ticket.request.BodyBytes)
 	ticket.answersPerSecond = c.expectedAnswers(ticket.request.Route)
 	c.answersPerSecond += ticket.answersPerSecond
--- a/core/admit/slowness.go
+++ b/core/admit/slowness.go
@@ -1,15 +1,14 @@
 package admit
 
-import "time"
+import (
+	"time"
 
-const (
-	// maxSlownessAge is the age at which a reported slowness no longer counts. Other programs on the
-	// upstream's host come and go within fractions of a second.
-	maxSlownessAge = 500 * time.Millisecond
-	// slownessWeight is the weight of the latest report in the mean; about the last 100 reports count.
-	slownessWeight = 0.02
+	"verbenaway/core"
 )
 
+// slownessWeight is the weight of the latest report in the mean; about the last 100 reports count.
+const slownessWeight = 0.02
+
 // slowness is how many times as long as usual work takes on the host of the upstream, as the upstream
 // reports it.
 type slowness struct {
@@ -34,8 +33,8 @@
 	if s.mean == 0 {
 		return 0
 	}
-	age := min(max(now.Sub(s.reportedAt), 0), maxSlownessAge)
-	return 1 + (s.latest/s.mean-1)*(1-age.Seconds()/maxSlownessAge.Seconds())
+	age := min(max(now.Sub(s.reportedAt), 0), core.MaxSlownessAge)
+	return 1 + (s.latest/s.mean-1)*(1-age.Seconds()/core.MaxSlownessAge.Seconds())
 }
 
 // RecordSlowness records how many times as long as usual work takes on the upstream's host; it must be
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -49,6 +49,10 @@
 	Detail   string
 }
 
+// MaxSlownessAge is the age at which a reported slowness no longer counts. Other programs on the host of
+// an upstream come and go within fractions of a second.
+const MaxSlownessAge = 500 * time.Millisecond
+
 // UpstreamLoad is the load that an upstream reports.
 type UpstreamLoad struct {
 	Running int
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -10,10 +10,11 @@
 
 const (
 	// minPause and maxPause bound the time for which a granter that had no permit left is not asked
-	// again; it doubles with each such answer. Other zones are asked less often.
-	minPause      = 100 * time.Millisecond
-	maxPause      = 400 * time.Millisecond
-	otherZoneRate = 2
+	// again; it doubles with each such answer. For those of other zones, it is multiplied by
+	// otherZoneFactor.
+	minPause        = 100 * time.Millisecond
+	maxPause        = 400 * time.Millisecond
+	otherZoneFactor = 2
 	// shortPause is how long a granter is not asked again that had fewer permits than asked for, and
 	// shortTime how long several are asked at once then.
 	shortPause = 50 * time.Millisecond
@@ -24,8 +25,8 @@
 	maxRetryAfter = 5 * time.Second
 	// demandTime is the time constant of the average of the demand.
 	demandTime = time.Second
-	// ahead is the part of the expected demand within PermitLifetime that is asked for in advance.
-	ahead = 0.5
+	// aheadShare is the part of the expected demand within PermitLifetime that is asked for in advance.
+	aheadShare = 0.5
 )
 
 // Account has the permits that one daemon has for a tenant. The zero value is ready for use.
@@ -122,7 +123,7 @@
 // Next decides the next step for a number of waiting requests. With StepAsk, it returns the granter to
 // ask and the number of permits to ask for, and counts on an answer: Apply or Fail has to follow.
 func (a *Account) Next(now time.Time, granters []core.Host, waiting int) (step Step, host core.Host, want int) {
-	missing := waiting + int(ahead*a.currentDemand(now)*PermitLifetime.Seconds()) - a.Permits(now)
+	missing := waiting + int(aheadShare*a.currentDemand(now)*PermitLifetime.Seconds()) - a.Permits(now)
 	open, isAsking := 0, false
 	for _, candidate := range granters {
 		switch s := a.find(candidate.Name); {
@@ -195,7 +196,7 @@
 	s.pause = min(max(2*s.pause, minPause), maxPause)
 	wait := s.pause
 	if !isNear {
-		wait *= otherZoneRate
+		wait *= otherZoneFactor
 	}
 	s.notBefore = now.Add(max(wait, min(grant.RetryAfter, maxRetryAfter)))
 }
--- a/core/route/cost.go
+++ b/core/route/cost.go
@@ -43,9 +43,6 @@
 	// maxReportAge is the age at which a reported service time or failure ratio no longer counts.
 	// Until the next report the upstream is treated as an average one.
 	maxReportAge = 4 * time.Second
-	// maxSlownessAge is the age at which a reported slowness no longer counts. Other programs on the host
-	// of an upstream come and go within fractions of a second.
-	maxSlownessAge = 500 * time.Millisecond
 	// defaultLatencyTarget applies to routes without a latency target.
 	defaultLatencyTarget = time.Second
 	// defaultServiceTimeShare is the service time of a route that no upstream has reported, as
--- a/core/route/link.go
+++ b/core/route/link.go
@@ -5,31 +5,31 @@
 	"time"
 )
 
-// Link estimates how long data that is sent now waits behind earlier data on the link of a host. The
+// LinkQueue estimates how long data that is sent now waits behind earlier data on the link of a host. The
 // send buffers of the connections hide this time from the sender. It is safe for concurrent use.
-type Link struct {
+type LinkQueue struct {
 	// rate is in bytes per second, 0 if unknown.
 	rate int64
-	// freeAt is when the data so far has left, on the monotonic scale. It is allocated so that a Link can
+	// freeAt is when the data so far has left, on the monotonic scale. It is allocated so that a LinkQueue can
 	// be copied.
 	freeAt *atomic.Int64
 }
 
-// NewLink returns a link of the given speed in bytes per second, 0 if it is unknown.
-func NewLink(bytesPerSecond int64) Link {
-	return Link{
+// NewLinkQueue returns the queue of a link of the given speed in bytes per second, 0 if it is unknown.
+func NewLinkQueue(bytesPerSecond int64) LinkQueue {
+	return LinkQueue{
 		rate:   bytesPerSecond,
 		freeAt: &atomic.Int64{},
 	}
 }
 
 // Rate returns the speed in bytes per second, 0 if it is unknown.
-func (l *Link) Rate() int64 {
+func (l *LinkQueue) Rate() int64 {
 	return l.rate
 }
 
 // Add records data that is sent now. A negative size means that it is unknown and is not counted.
-func (l *Link) Add(now time.Time, bytes int64) {
+func (l *LinkQueue) Add(now time.Time, bytes int64) {
 	if l.rate <= 0 || bytes <= 0 {
 		return
 	}
@@ -43,7 +43,7 @@
 }
 
 // Wait returns how long data that is sent now waits for the earlier data.
-func (l *Link) Wait(now time.Time) time.Duration {
+func (l *LinkQueue) Wait(now time.Time) time.Duration {
 	return time.Duration(max(l.freeAt.Load()-int64(momentOf(now)), 0))
 }
 
--- a/core/route/speed.go
+++ b/core/route/speed.go
@@ -84,7 +84,7 @@
 		return 1
 	}
 	reported = min(max(reported, 1/maxSlowness), maxSlowness)
-	return 1 + (reported-1)*remaining(now, u.loadAt.Load(), maxSlownessAge)
+	return 1 + (reported-1)*remaining(now, u.loadAt.Load(), core.MaxSlownessAge)
 }
 
 // transferTime returns the time that data takes between the upstream's host and another one whose link
--- a/core/route/uneven_test.go
+++ b/core/route/uneven_test.go
@@ -180,7 +180,7 @@
 // TestLink checks the wait on a link: one after the other, and none after a pause or at unknown speed.
 func TestLink(t *testing.T) {
 	c := qt.New(t)
-	link := route.NewLink(2_000_000)
+	link := route.NewLinkQueue(2_000_000)
 	c.Assert(link.Wait(start), qt.Equals, time.Duration(0))
 	link.Add(start, 100_000)
 	link.Add(start, 100_000)
@@ -191,7 +191,7 @@
 	c.Assert(link.Wait(later), qt.Equals, time.Duration(0))
 	link.Add(later, 20_000)
 	c.Assert(link.Wait(later), qt.Equals, 10*time.Millisecond)
-	unknown := route.NewLink(0)
+	unknown := route.NewLinkQueue(0)
 	unknown.Add(start, 1<<40)
 	c.Assert(unknown.Wait(start), qt.Equals, time.Duration(0))
 }
--- a/io/limit/conn.go
+++ b/io/limit/conn.go
@@ -334,12 +334,31 @@
 	return timeout > 0 && !c.readingSince.IsZero() && now.Sub(c.readingSince) > timeout
 }
 
-// yield is what a connection may yield, the lowest first.
+// yield is what a connection may yield. Among those of one rank, the one that has waited longest may
+// yield least.
 type yield struct {
-	rank  int
+	rank  yieldRank
 	since time.Time
 }
 
+// yieldRank orders connections by what they may yield.
+type yieldRank int
+
+// The ranks, the connections that yield least first.
+const (
+	// neverServed has not completed a request yet.
+	neverServed yieldRank = iota
+	// starvedUpload is an upload of which nothing comes.
+	starvedUpload
+	// unreadAnswer is one whose answer is not read.
+	unreadAnswer
+	// idleServed and headingServed have had an answer; the latter sends another request.
+	idleServed
+	headingServed
+	// runningUpload is an upload that goes on.
+	runningUpload
+)
+
 func (y yield) isBelow(other yield) bool {
 	return y.rank < other.rank || y.rank == other.rank && y.since.Before(other.since)
 }
@@ -351,17 +370,17 @@
 	y.since = c.since
 	switch {
 	case c.phase <= Heading && c.served == 0:
-		y.rank = 0
+		y.rank = neverServed
 	case c.phase == Uploading && c.isStarved(now):
-		y.rank = 1
+		y.rank = starvedUpload
 	case c.isStalled(now):
-		y.rank = 2
+		y.rank = unreadAnswer
 	case c.phase == Idle:
-		y.rank = 3
+		y.rank = idleServed
 	case c.phase == Heading:
-		y.rank = 4
+		y.rank = headingServed
 	case c.phase == Uploading:
-		y.rank = 5
+		y.rank = runningUpload
 	default:
 		return yield{}, false
 	}
@@ -406,19 +425,21 @@
 const (
 	// largeBodyBytes is the length from which bodies pass through large buffers.
 	largeBodyBytes = 64 << 10
-	smallBuffer    = 32 << 10
-	largeBuffer    = 256 << 10
+	// smallBufferBytes and largeBufferBytes are the sizes of the buffers through which bodies of unknown
+	// length and large bodies pass.
+	smallBufferBytes = 32 << 10
+	largeBufferBytes = 256 << 10
 )
 
-// BodyBytes returns the memory that a body of a length takes on its way, -1 if that is unknown.
+// BodyBytes returns the memory that a body takes on its way. The length is -1 if it is unknown.
 func BodyBytes(length int64) int64 {
 	switch {
 	case length == 0:
 		return 0
 	case length > largeBodyBytes:
-		return largeBuffer
+		return largeBufferBytes
 	case length < 0:
-		return smallBuffer
+		return smallBufferBytes
 	}
 	return length
 }
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -112,14 +112,12 @@
 	returns room.Returns
 }
 
-// add is Returns.Add.
 func (r *returns) add(key room.ReturnKey, first room.FirstAttempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.returns.Add(key, first)
 }
 
-// take is Returns.Take.
 func (r *returns) take(key room.ReturnKey, deadline time.Time) (room.FirstAttempt, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -132,21 +130,18 @@
 	full room.Full
 }
 
-// record is Full.Record.
 func (f *full) record(now time.Time, key room.FullKey, host core.HostName, roomAfter time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.full.Record(now, key, host, roomAfter)
 }
 
-// forget is Full.Forget.
 func (f *full) forget(key room.FullKey, host core.HostName) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.full.Forget(key, host)
 }
 
-// withoutRoom is Full.WithoutRoom.
 func (f *full) withoutRoom(now time.Time, key room.FullKey, left time.Duration, asks bool, hosts []core.HostName) ([]core.HostName, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -82,7 +82,7 @@
 	keys      gateKeys
 	transport gateTransport
 	// link estimates how much of the answers is still on its way through the link of the host.
-	link route.Link
+	link route.LinkQueue
 	// table finds routes in the last snapshot that was used.
 	table atomic.Pointer[route.Table]
 
@@ -121,7 +121,7 @@
 
 			LinkRate: config.LinkRate,
 		}),
-		link: route.NewLink(config.LinkRate),
+		link: route.NewLinkQueue(config.LinkRate),
 		idle: make(chan struct{}, 1),
 	}
 	g.refusals.record = g.record
