--- a/review/platform/rig2/case_cold.go
+++ b/review/platform/rig2/case_cold.go
@@ -210,8 +210,13 @@
 	return judgeCold(rec, upstreams), nil
 }
 
-// playColdness makes an upstream cold again while it runs.
+// playColdness makes an upstream cold again while the store is down. Only its health answers say so.
 func playColdness(rec *record, isTroubled bool) (bool, error) {
+	const (
+		perSecond = 130
+		outage    = 4500 * time.Millisecond
+		coldAfter = time.Second
+	)
 	m, upstreams, err := newColdMesh(rec, 2)
 	if err != nil {
 		return false, err
@@ -228,14 +233,21 @@
 	}
 	var groups []*sync.WaitGroup
 	for _, h := range m.hosts {
-		groups = append(groups, drive(rec, h, 130, stop))
+		groups = append(groups, drive(rec, h, perSecond, stop))
 	}
 	time.Sleep(3 * time.Second)
 	if isTroubled {
+		rec.add("the store is down")
+		m.store.setDown(true)
+		time.AfterFunc(outage, func() {
+			rec.add("the store is back")
+			m.store.setDown(false)
+		})
+		time.Sleep(coldAfter)
 		upstreams[0].setCold(warmupS * time.Second)
-		rec.add("the upstream of host 0 is cold for %d s; its health answers say so, its entry from the next heartbeat", warmupS)
+		rec.add("the upstream of host 0 is cold for %d s; its health answers say so", warmupS)
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(5 * time.Second)
 	close(stop)
 	for _, group := range groups {
 		group.Wait()
--- a/review/platform/rig2/main.go
+++ b/review/platform/rig2/main.go
@@ -25,7 +25,6 @@
 	"escape":   playEscape,
 	"restart":  playRestart,
 	"coldness": playColdness,
-	"gone":     playGone,
 }
 
 func main() {
--- a/review/platform/rig2/store.go
+++ b/review/platform/rig2/store.go
@@ -29,6 +29,8 @@
 	items    map[string]item
 	history  []item
 	changed  chan struct{}
+	// isDown makes the store answer every call with 503, which means that nothing was done.
+	isDown bool
 }
 
 func newStore(address string) (*store, error) {
@@ -82,6 +84,30 @@
 	return time.Now()
 }
 
+// setDown begins or ends an outage.
+func (s *store) setDown(isDown bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = isDown
+	s.wake()
+}
+
+// isUp reports whether the store takes writes.
+func (s *store) isUp() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.isDown
+}
+
+// refuse answers with 503 during an outage.
+func (s *store) refuse(w http.ResponseWriter) bool {
+	if s.isUp() {
+		return false
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 func (s *store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -93,6 +119,9 @@
 }
 
 func (s *store) serveKey(w http.ResponseWriter, r *http.Request) {
+	if s.refuse(w) {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	found, ok := s.items[r.URL.Query().Get("key")]
@@ -106,6 +135,9 @@
 const pageItems = 500
 
 func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
+	if s.refuse(w) {
+		return
+	}
 	query := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -134,6 +166,9 @@
 	timer := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
 	defer timer.Stop()
 	for isOver := false; ; {
+		if s.refuse(w) {
+			return
+		}
 		events, revision, changed := s.since(query.Get("prefix"), after)
 		if len(events) > 0 || isOver {
 			answer(w, map[string]any{
--- a/review/platform/rig2/upstream.go
+++ b/review/platform/rig2/upstream.go
@@ -75,8 +75,11 @@
 	return u, nil
 }
 
-// beat writes the upstream's entry, as it does every heartbeat.
-func (u *upstream) beat() time.Time {
+// beat writes the upstream's entry, as it does every heartbeat. In an outage of the store, that fails.
+func (u *upstream) beat() {
+	if !u.host.mesh.store.isUp() {
+		return
+	}
 	u.mu.Lock()
 	u.sequence++
 	entry := map[string]any{
@@ -91,7 +94,7 @@
 		"born":          u.born,
 	}
 	u.mu.Unlock()
-	return u.host.mesh.store.put("servers/"+u.id, entry)
+	u.host.mesh.store.put("servers/"+u.id, entry)
 }
 
 // beatEvery writes the entry at each heartbeat until stop is closed.
