--- a/review/platform/rig2/case_stop.go
+++ b/review/platform/rig2/case_stop.go
@@ -15,7 +15,7 @@
 	const (
 		// An upstream slows down when it is nearly full.
 		work     = 1000 * time.Millisecond
-		fullWork = 1600 * time.Millisecond
+		fullWork = 2000 * time.Millisecond
 		slots    = 2
 		deadline = 12 * time.Second
 		requests = 8
