proxy, admit: a planned stop withdraws its requests from the queues of other daemons

Cause: only the entry knows that it stops, and only the gatekeeper knows that a request has not started. Neither told the other, so that the gatekeeper kept the request in its queue and the entry could not refuse it as not run. In the logs: "sent" without "sentBack" at the entry, no "admitted" and no "declined" at the gatekeeper.

Change: a draining entry tells the gatekeepers at which it has attempts when it closes the connections of its callers, in a probe. They refuse its waiting requests that are not expected to be answered by then. This works because the gatekeeper decides under its mutex: a request has its slot or is refused as not run.

Ruled out: a shorter deadline for the requests themselves, which would not reach those sent before SIGTERM.

The stand-in gatekeeper of TestPipelinedAnswersAtPlannedStop counted each HTTP request as one of a caller; it answers probes now and still counts every request.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -48,6 +48,11 @@
 	// NoWait refuses the request instead of queueing it for more than a moment, because another
 	// upstream seems to have a free slot.
 	NoWait bool
+	// Sender is the host of the entry that sent the request, "" if unknown.
+	Sender core.HostName
+	// SenderClosesAt is the time at which the sender closes the connections of its callers, so that an
+	// answer is of no use afterwards; zero if it is not leaving.
+	SenderClosesAt time.Time
 	// BodyBytes is the size of a body that the sender holds back until the request gets its slot, 0
 	// if there is none.
 	BodyBytes int64
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -197,6 +197,12 @@
 	return wait
 }
 
+// remainingQueueTime returns the queue time that a waiting request has left.
+func (c *Controller) remainingQueueTime(now time.Time, ticket *Ticket) time.Duration {
+	// The claim itself is among those counted as ahead.
+	return max(c.queueTime(now, &ticket.claim)-ticket.claim.ServiceTime/time.Duration(max(c.limit(), 1)), 0)
+}
+
 // busyKind returns the kind of refusal for a request that found no slot.
 func (c *Controller) busyKind(now time.Time) core.ErrorKind {
 	if c.isCold(now) || !c.config.IsRegistered && c.ramp.limit() < c.service.Slots {
@@ -407,8 +413,7 @@
 		return
 	}
 	latestStart := last.claim.LatestStart()
-	// The claim itself is among those counted as ahead.
-	expected := c.queueTime(now, &last.claim) - last.claim.ServiceTime/time.Duration(max(c.limit(), 1))
+	expected := c.remainingQueueTime(now, last)
 	if now.Add(expected).After(latestStart) && latestStart.Sub(now) >= minMoveTime {
 		c.refuseOne(now, last, core.Displaced, "more urgent requests came first")
 	}
--- a/io/proxy/early_test.go
+++ b/io/proxy/early_test.go
@@ -163,6 +163,11 @@
 			blocked := make(chan struct{})
 			proceed := sync.OnceFunc(func() { close(blocked) })
 			entry, conn := dialPipelinedEntry(t, func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get(HeaderProbe) != "" {
+					// The entry announces when it closes; this is no request of a caller.
+					w.WriteHeader(http.StatusNoContent)
+					return
+				}
 				arrived.Add(1)
 				if !tc.isServed(slices.Index(paths, r.URL.Path)) {
 					<-blocked
@@ -173,7 +178,7 @@
 			_, err := conn.Write([]byte(text))
 			c.Assert(err, qt.IsNil)
 			waitUntil(t, func() bool { return arrived.Load() == requests })
-			entry.Leave()
+			entry.Leave(time.Now().Add(time.Minute))
 			drained := make(chan error, 1)
 			if tc.drains {
 				go func() { drained <- entry.Drain(t.Context()) }()
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -90,6 +90,7 @@
 	inFlight atomic.Int64
 	draining atomic.Bool
 	leaving  atomic.Bool
+	closing  closing
 	// idle receives a value when the last request in flight ends during Drain.
 	idle chan struct{}
 	// probes combines simultaneous probes of the same host.
@@ -313,8 +314,9 @@
 
 // Leave makes the entry close the connection of a caller after an answer, so that the caller connects
 // to another daemon. Pipelined requests that were passed on get their answers first, and requests that
-// still arrive are served.
-func (e *Entry) Leave() {
+// still arrive are served. At closesAt, the connections of callers are closed.
+func (e *Entry) Leave(closesAt time.Time) {
+	e.closing.set(closesAt)
 	e.leaving.Store(true)
 }
 
@@ -324,9 +326,16 @@
 }
 
 // Drain refuses new requests from callers and returns when the last request in flight has ended,
-// or the error of ctx if that ends first.
+// or the error of ctx if that ends first. Meanwhile gatekeepers refuse requests that wait in their queues
+// and would not be answered before the end: that of Leave, or else of ctx.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.draining.Store(true)
+	if deadline, ok := ctx.Deadline(); ok {
+		e.closing.setDefault(deadline.Add(-closingMargin))
+	}
+	announceCtx, stopAnnouncing := context.WithCancel(ctx)
+	defer stopAnnouncing()
+	go e.announceClosing(announceCtx)
 	defer e.refusals.flush()
 	defer e.transport.CloseIdleConnections()
 	for e.inFlight.Load() > 0 {
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -172,6 +172,8 @@
 	}
 	balancer := c.entry.balancer
 	defer balancer.Release(c.choice)
+	c.entry.closing.begin(c.choice.Host.GateAddress)
+	defer c.entry.closing.end(c.choice.Host.GateAddress)
 	c.tried = append(c.tried, c.choice.Host.Name)
 	c.setAttemptHeaders()
 	c.logDecision(core.DecisionSent, result{
--- a/io/proxy/entry_unresponsive.go
+++ b/io/proxy/entry_unresponsive.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 	"sync"
 	"time"
 
@@ -160,30 +159,9 @@
 func (e *Entry) probe(host core.Host) probeResult {
 	result, _, _ := e.probes.Do(string(host.Name), func() (any, error) {
 		e.Counters.Probes.Add(1)
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		request := (&http.Request{
-			Method: http.MethodGet,
-			URL: &url.URL{
-				Scheme: "http",
-				Host:   host.GateAddress,
-				Path:   "/",
-			},
-			Header: http.Header{
-				keyProbe: probeValue,
-			},
-		}).WithContext(ctx)
-		response, err := e.transport.RoundTrip(request)
-		if err != nil {
-			return probeNoAnswer, nil
-		}
-		defer func() {
-			_ = response.Body.Close()
-		}()
-		if response.StatusCode == http.StatusServiceUnavailable {
-			return probeSilent, nil
-		}
-		return probeResponsive, nil
+		return e.sendProbe(context.Background(), host.GateAddress, http.Header{
+			keyProbe: probeValue,
+		}), nil
 	})
 	return result.(probeResult)
 }
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -136,7 +136,7 @@
 	g.active.Add(1)
 	defer g.requestDone()
 	if _, isProbe := r.Header[keyProbe]; isProbe {
-		g.serveProbe(w)
+		g.serveProbe(w, r)
 		return
 	}
 	call, kind, detail := g.newCall(w, r)
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -121,6 +121,7 @@
 		call.admitRequest.Target = call.started.Add(time.Duration(target) * time.Millisecond)
 	}
 	call.admitRequest.BodyBytes = heldBackBytes(r)
+	call.admitRequest.Sender = core.HostName(firstValue(r.Header, keySender))
 	return call, "", ""
 }
 
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -36,6 +36,10 @@
 	HeaderRetryAfter = "Verbenaway-RetryAfterMs"
 	// HeaderProbe asks a gatekeeper whether its upstream is responsive, instead of a request.
 	HeaderProbe = "Verbenaway-Probe"
+	// HeaderCloses is the time until the sender closes the connections of its callers because it is
+	// leaving, in whole milliseconds. An answer is of no use to it afterwards. It comes with HeaderProbe
+	// and holds for all queued requests of the sender.
+	HeaderCloses = "Verbenaway-ClosesMs"
 	// HeaderLoad in an answer is "inFlight/limit" of the upstream that sent it. Where upstreams
 	// register themselves, "/queueUs/serviceUs/failedPermille" follows: the expected queue time
 	// and service time of a new request of the route, in microseconds, and the failure ratio of
@@ -66,6 +70,7 @@
 	keyService     = http.CanonicalHeaderKey(HeaderService)
 	keyTarget      = http.CanonicalHeaderKey(HeaderTarget)
 	keyBootID      = http.CanonicalHeaderKey(HeaderBootID)
+	keyCloses      = http.CanonicalHeaderKey(HeaderCloses)
 	keyClaimed     = http.CanonicalHeaderKey(HeaderClaimed)
 	keyDepth       = http.CanonicalHeaderKey(HeaderDepth)
 	keyError       = http.CanonicalHeaderKey(HeaderError)
@@ -127,5 +132,6 @@
 	HeaderArrived,
 	HeaderRetryAfter,
 	HeaderProbe,
+	HeaderCloses,
 	HeaderHostLoad,
 }
