proxy: what an upstream sends counts as an answer only if it is one in HTTP/1.1

Cause: what http.Transport returns counted as an answer. It accepts any three digits as a status, keeps names with a blank without taking them for the field that was meant (Content-Length, Transfer-Encoding), accepts HTTP/0.9 and 2.0, ignores chunks in HTTP/1.0, and returns a 101 that nobody asked for and trailers with any name.

Change: checkHead decides on status, version, names and framing, for answers of upstreams and of gatekeepers; names of trailers are checked before the last chunk goes on. Anything else is a lost answer and closes its connection. Probes count 204 alone as a sign of life.

--- a/io/proxy/entry_closing.go
+++ b/io/proxy/entry_closing.go
@@ -130,8 +130,11 @@
 	defer func() {
 		_ = response.Body.Close()
 	}()
-	if response.StatusCode == http.StatusServiceUnavailable {
+	switch response.StatusCode {
+	case http.StatusNoContent:
+		return probeResponsive
+	case http.StatusServiceUnavailable:
 		return probeSilent
 	}
-	return probeResponsive
+	return probeNoAnswer
 }
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -180,6 +180,10 @@
 		_ = s.conn.Close()
 		return c.lostAnswer(string(c.choice.Host.Name) + " answered before it was asked")
 	}
+	if err = checkHead(response); err != nil {
+		_ = s.conn.Close()
+		return c.lostAnswer(string(c.choice.Host.Name) + ": " + malformedAnswer + err.Error())
+	}
 	c.recordAnswerHeaders(response.Header)
 	r, refused := c.refusal(response.Header, func() string {
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxDetailBytes))
@@ -357,7 +361,7 @@
 	isStarted := false
 	for {
 		n, err := response.Body.Read(*buffer)
-		isWhole := errors.Is(err, io.EOF) && !endsAtClose
+		isWhole := errors.Is(err, io.EOF) && !endsAtClose && checkFieldNames(response.Trailer) == nil
 		if !isStarted && (n > 0 || isWhole) {
 			isStarted = true
 			c.entry.balancer.RecordAnswer(c.choice)
--- a/io/proxy/gate_answer.go
+++ b/io/proxy/gate_answer.go
@@ -136,7 +136,7 @@
 			return nil, writeErr
 		}
 		if errors.Is(err, io.EOF) {
-			return nil, writeErr
+			return checkFieldNames(response.Trailer), writeErr
 		}
 		if err != nil {
 			return err, writeErr
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -82,6 +82,12 @@
 	defer func() {
 		_ = response.Body.Close()
 	}()
+	if err = checkHead(response); err != nil {
+		c.reachedUpstream = true
+		trace.closeConn()
+		c.report(admit.SignalReset, "")
+		return c.lostAnswerKind(true), malformedAnswer + err.Error()
+	}
 	if c.gate.config.Dialect != nil {
 		if kind, detail := c.classifyAnswer(response, trace); kind != "" {
 			return kind, detail
@@ -107,6 +113,8 @@
 	return c.answer(response)
 }
 
+const malformedAnswer = "the answer is malformed: "
+
 // resolveInstance sets the instance to the process registered now: another one may have taken
 // the address while the request was queued.
 func (c *gateCall) resolveInstance() (core.ErrorKind, string) {
