proxy: the end of a connection that was reset is no end of an answer

Cause: the kernel reports a reset once. The write of the upload got ECONNRESET, and the read of the answer then found a regular end, which ends an answer without a length. Ruled out: the entry, which passes on answers of gatekeepers by their length or chunks only.

Change: gateConn remembers that a write failed with ECONNRESET; a read that finds the end waits for a write in progress and fails after a reset. EPIPE alone stays a regular end, since the kernel reports it when the end came first.

--- a/io/proxy/gate_transport.go
+++ b/io/proxy/gate_transport.go
@@ -10,6 +10,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"verbenaway/core"
@@ -108,6 +109,12 @@
 	// requests counts the requests that got the connection.
 	requests atomic.Int64
 
+	// writeMu is held during a write.
+	writeMu sync.Mutex
+	// isReset means that a write has failed because the upstream reset the connection. The kernel reports
+	// a reset once, so that reads then find a regular end.
+	isReset bool
+
 	mu sync.Mutex
 	// refused holds the ids of the latest requests that the upstream refused on the connection, at
 	// most maxRefusedIDs, the oldest first.
@@ -139,9 +146,24 @@
 	if err != nil && !c.isBusy.Load() && !c.isClosed.Load() {
 		c.transport.suspectRestart()
 	}
+	if errors.Is(err, io.EOF) && c.wasReset() {
+		err = errReset
+	}
 	return n, err
 }
 
+var errReset = errors.New("the upstream reset the connection while the request was written")
+
+// wasReset reports whether the end that was read is that of a connection which the upstream has reset. A
+// write in progress may have got the error of the reset but not returned yet; no further one is of use
+// after the end.
+func (c *gateConn) wasReset() bool {
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	return c.isReset
+}
+
 // Close implements net.Conn.
 func (c *gateConn) Close() error {
 	if !c.isClosed.Swap(true) && c.transport.openConns.Add(-1) == 0 {
@@ -152,8 +174,13 @@
 
 // Write implements net.Conn.
 func (c *gateConn) Write(p []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
+	if errors.Is(err, syscall.ECONNRESET) {
+		c.isReset = true
+	}
 	return n, err
 }
 
