proxy, limit: requests of callers that have left are not passed on

Cause: limit.HasPeerClosed finds the connection of a request by its context, and the contexts of callers' connections did not hold it. It also looked ahead in the receive queue only, where the end lies behind an unread body.

Change: these contexts hold the connection; the entry checks before each attempt; the check asks poll(2) whether the end has arrived.

--- a/io/limit/conn.go
+++ b/io/limit/conn.go
@@ -389,6 +389,11 @@
 
 type connKey struct{}
 
+// WithConn returns a context of requests that come from a connection.
+func WithConn(ctx context.Context, c *Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // Attach lets the connections of a server draw on the budget of its Listener.
 func Attach(server *http.Server) {
 	handler := server.Handler
@@ -405,7 +410,10 @@
 		handler.ServeHTTP(w, r)
 	})
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, conn)
+		if c, ok := conn.(*Conn); ok {
+			return WithConn(ctx, c)
+		}
+		return ctx
 	}
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		if c, ok := conn.(*Conn); ok && state == http.StateIdle {
--- a/io/limit/socket.go
+++ b/io/limit/socket.go
@@ -36,13 +36,18 @@
 	}
 }
 
-// isClosedByPeer looks for the end of the stream behind the bytes that have been read.
+// isClosedByPeer reports whether the end of the stream has arrived, also behind bytes that were not read.
 func isClosedByPeer(raw syscall.RawConn) bool {
 	isClosed := false
 	_ = raw.Control(func(descriptor uintptr) {
-		var next [1]byte
-		n, _, err := unix.Recvfrom(int(descriptor), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		isClosed = n == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
+		poll := []unix.PollFd{
+			{
+				Fd:     int32(descriptor),
+				Events: unix.POLLRDHUP,
+			},
+		}
+		count, err := unix.Poll(poll, 0)
+		isClosed = err == nil && count > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 	})
 	return isClosed
 }
--- a/io/proxy/early_conn.go
+++ b/io/proxy/early_conn.go
@@ -43,18 +43,18 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	c := &callerConn{
-		Conn:   conn,
-		entry:  l.Entry,
-		ctx:    ctx,
-		cancel: cancel,
+		Conn:  conn,
+		entry: l.Entry,
 	}
 	c.changed.L = &c.mu
+	ctx := context.Background()
 	if limited, ok := conn.(*limit.Conn); ok {
 		limited.Own(true)
 		c.limited = limited
+		ctx = limit.WithConn(ctx, limited)
 	}
+	c.ctx, c.cancel = context.WithCancel(ctx)
 	return c, nil
 }
 
@@ -62,10 +62,14 @@
 
 // withCallerConn is the http.Server.ConnContext for connections of a PipelineListener.
 func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
-	if c, ok := conn.(*callerConn); ok {
-		return context.WithValue(ctx, callerConnKey{}, c)
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return ctx
 	}
-	return ctx
+	if c.limited != nil {
+		ctx = limit.WithConn(ctx, c.limited)
+	}
+	return context.WithValue(ctx, callerConnKey{}, c)
 }
 
 // callerConn is the connection of a caller. It gives the HTTP server one request at a time and
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -13,6 +13,7 @@
 	"verbenaway/core/retry"
 	"verbenaway/core/room"
 	"verbenaway/core/route"
+	"verbenaway/io/limit"
 )
 
 // call is the state of one request in the entry.
@@ -167,6 +168,11 @@
 	if c.ctx.Err() != nil {
 		return c.interrupted(false)
 	}
+	if limit.HasPeerClosed(c.request.Context()) {
+		r := failedAttempt(core.CanceledBeforeRun, true, "the caller has closed its connection")
+		r.final = true
+		return r
+	}
 	if r, ok := c.choose(); !ok {
 		return r
 	}
