limit: unread answers count for the callers that wait for them

Callers saw (reported by other operators): a faulty upstream sent bytes without end, the machine that had called it ran out of memory, and the requests of other clients ended with it.

Cause: the window of a connection grows with the speed at which it is read. If callers stop reading, the kernel receives up to megabytes for each request in service. Nothing bounded this for connections to upstreams and other daemons, the budget counted the connections of callers only, and the test of the crowd counted the bytes at the daemon's own ports only.

Ruled out: closing the connection to the upstream, which would cut the answers of callers that do read.

--- a/io/limit/budget.go
+++ b/io/limit/budget.go
@@ -78,8 +78,9 @@
 	outgoing atomic.Int64
 
 	mu sync.Mutex
-	// conns holds the connections of listeners.
-	conns map[*Conn]struct{}
+	// conns holds the connections of listeners, dialed those of dialers.
+	conns  map[*Conn]struct{}
+	dialed map[*outgoingConn]struct{}
 	// busy is the number of connections that were not idle at the last scan or are newer.
 	busy int
 	// evicted are connections that unlock closes.
@@ -90,6 +91,7 @@
 func NewBudget(config Config) *Budget {
 	b := &Budget{
 		conns:   map[*Conn]struct{}{},
+		dialed:  map[*outgoingConn]struct{}{},
 		crowded: make(chan struct{}, 1),
 	}
 	b.Configure(config)
@@ -151,6 +153,7 @@
 	b.mu.Lock()
 	defer b.unlock()
 	b.busy = 0
+	answers := b.unreadAnswers()
 	for c := range b.conns {
 		c.mu.Lock()
 		isIdle := c.phase == Idle && c.unread == 0
@@ -165,10 +168,7 @@
 			continue
 		}
 		b.busy++
-		unread := c.queued()
-		if unread < minScannedBytes {
-			unread = 0
-		}
+		unread := queued(c.raw) + answers[c]
 		c.mu.Lock()
 		b.bytes.Add(unread - c.unread)
 		c.unread = unread
@@ -315,11 +315,7 @@
 			return nil, err
 		}
 		b.makeRoom()
-		b.outgoing.Add(1)
-		return &outgoingConn{
-			Conn:   conn,
-			budget: b,
-		}, nil
+		return b.newOutgoingConn(conn), nil
 	}
 }
 
@@ -337,18 +333,3 @@
 		b.evict(victim)
 	}
 }
-
-// outgoingConn is a connection of a Dialer.
-type outgoingConn struct {
-	net.Conn
-	budget *Budget
-	closed sync.Once
-}
-
-// Close implements net.Conn.
-func (c *outgoingConn) Close() error {
-	c.closed.Do(func() {
-		c.budget.outgoing.Add(-1)
-	})
-	return c.Conn.Close()
-}
--- a/io/limit/conn.go
+++ b/io/limit/conn.go
@@ -92,12 +92,23 @@
 		budget: b,
 		since:  now,
 	}
-	if source, ok := conn.(syscall.Conn); ok {
-		c.raw, _ = source.SyscallConn() // a connection without a descriptor has no queue
-	}
+	c.raw = rawConn(conn)
 	return c
 }
 
+// rawConn returns the descriptor of a connection, nil if it has none.
+func rawConn(conn net.Conn) syscall.RawConn {
+	source, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return nil // it is closed, so that it has no queue
+	}
+	return raw
+}
+
 // HeadBytes returns the memory that a head of a size and number of lines takes while its request is
 // served.
 func HeadBytes(size, lines int) int64 {
@@ -288,15 +299,19 @@
 	return c.Conn.Close()
 }
 
-// queued returns the number of bytes that the kernel has received and that were not read.
-func (c *Conn) queued() int64 {
-	if c.raw == nil {
+// queued returns the number of bytes that the kernel has received on a connection and that were not read,
+// 0 if it is not worth counting.
+func queued(raw syscall.RawConn) int64 {
+	if raw == nil {
 		return 0
 	}
 	count := 0
-	_ = c.raw.Control(func(descriptor uintptr) {
+	_ = raw.Control(func(descriptor uintptr) {
 		count, _ = unix.IoctlGetInt(int(descriptor), unix.SIOCINQ) // 0 on errors
 	})
+	if count < minScannedBytes {
+		return 0
+	}
 	return int64(count)
 }
 
@@ -394,11 +409,17 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// ConnOf returns the connection from which the request of a context came, nil if it is not known.
+func ConnOf(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn) // nil without one
+	return c
+}
+
 // Attach lets the connections of a server draw on the budget of its Listener.
 func Attach(server *http.Server) {
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*Conn); ok {
+		if c := ConnOf(r.Context()); c != nil {
 			c.Begin()
 			held := BodyBytes(r.ContentLength)
 			c.Hold(held)
@@ -426,8 +447,8 @@
 // closed it. Unlike the end of the context, which the server sets a while later, it holds as soon as the
 // close has arrived: on a busy host, request and close may both have waited for their turn.
 func HasPeerClosed(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*Conn)
-	return ok && c.raw != nil && isClosedByPeer(c.raw)
+	c := ConnOf(ctx)
+	return c != nil && c.raw != nil && isClosedByPeer(c.raw)
 }
 
 const (
--- a/io/limit/socket_test.go
+++ b/io/limit/socket_test.go
@@ -46,7 +46,7 @@
 	c.Assert(conn, qt.IsNotNil)
 	most := int64(0)
 	for range 50 {
-		most = max(most, conn.queued())
+		most = max(most, queued(conn.raw))
 		time.Sleep(2 * time.Millisecond)
 	}
 	c.Assert(most > 0 && most <= bound, qt.IsTrue, qt.Commentf("%d bytes are unread", most))
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"verbenaway/core"
+	"verbenaway/io/limit"
 )
 
 const (
@@ -142,7 +143,9 @@
 }
 
 type sendTrace struct {
-	trace         httptrace.ClientTrace
+	trace httptrace.ClientTrace
+	// owner is the connection of the caller, nil if it is not known.
+	owner         *limit.Conn
 	conn          *countingConn
 	writtenBefore int64
 	// isWritten is set once the transport no longer reads the request.
@@ -154,6 +157,14 @@
 		conn.isUnsent.Store(true)
 		s.writtenBefore = conn.written.Load()
 		s.conn = conn
+		limit.SetOwner(conn.Conn, s.owner)
+	}
+}
+
+// release ends the ownership of the connection before another request may get it.
+func (s *sendTrace) release() {
+	if s.conn != nil {
+		limit.ReleaseOwner(s.conn.Conn, s.owner)
 	}
 }
 
@@ -163,8 +174,11 @@
 
 // sendRemote sends the request to the gatekeeper on the chosen host.
 func (c *call) sendRemote() result {
-	s := &sendTrace{}
+	s := &sendTrace{
+		owner: limit.ConnOf(c.request.Context()),
+	}
 	s.trace.GotConn = s.gotConn
+	defer s.release()
 	if c.buffer != nil {
 		s.trace.WroteRequest = s.wroteRequest
 		defer c.dropBufferInUse(s)
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -68,7 +68,10 @@
 	if c.recorder == nil && limit.HasPeerClosed(c.request.Context()) {
 		return core.CanceledBeforeRun, "the sender has closed its connection"
 	}
-	trace := &gateTrace{}
+	trace := &gateTrace{
+		owner: limit.ConnOf(c.request.Context()),
+	}
+	defer trace.release()
 	c.outcome = gateUnknown
 	c.logDecision(core.DecisionAdmitted, "", "")
 	response, err := transport.RoundTrip(c.upstreamRequest(ctx, trace))
--- a/io/proxy/gate_transport.go
+++ b/io/proxy/gate_transport.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"verbenaway/core"
+	"verbenaway/io/limit"
 )
 
 // gateTransport manages the connections to the upstream.
@@ -191,6 +192,9 @@
 
 // gateTrace determines whether any byte of a request was written to the upstream.
 type gateTrace struct {
+	// owner is the connection from which the request came, nil if it is not known.
+	owner *limit.Conn
+
 	mu sync.Mutex
 	// conn is the connection of the latest attempt, and writtenBefore its byte count when the
 	// attempt started.
@@ -221,6 +225,7 @@
 		return
 	}
 	conn.isBusy.Store(true)
+	limit.SetOwner(conn.Conn, t.owner)
 	t.conn = conn
 	t.writtenBefore = conn.written.Load()
 	t.isFirst = conn.requests.Add(1) == 1
@@ -265,6 +270,15 @@
 	}
 }
 
+// release ends the ownership of the connection before another request may get it.
+func (t *gateTrace) release() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		limit.ReleaseOwner(t.conn.Conn, t.owner)
+	}
+}
+
 // closeConn closes the connection of the latest attempt.
 func (t *gateTrace) closeConn() {
 	t.mu.Lock()
