proxy: one owner for the header of a pipelined answer

Trailers of pipelined answers were lost.

Cause: the handler of an early call sets trailers in its header, while flushBuffered copied the same map in the goroutine of the server. Trailers set after the copy never arrived, and short answers got a length in place of trailers, since the flush of the handler was dropped.

Change: WriteHeader makes the copy that the server's goroutine reads; join takes the trailers when the handler is done, and repeats its flush.

--- a/io/proxy/early_call.go
+++ b/io/proxy/early_call.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 )
@@ -24,12 +25,19 @@
 	release func()
 	done    chan struct{}
 
+	// header belongs to the goroutine of the handler until done is closed; net/http lets a handler set
+	// trailers in it while the answer is sent.
+	header http.Header
+
 	mu      sync.Mutex
 	changed sync.Cond
-	header  http.Header
+	// head is the copy of header at WriteHeader.
+	head http.Header
 	// status is 0 before WriteHeader and once it was written to serverWriter.
 	status   int
 	buffered []byte
+	// isFlushed means that the handler has flushed what is buffered.
+	isFlushed bool
 	// held is the memory that buffered has drawn.
 	held atomic.Int64
 	// serverWriter is the ResponseWriter of the server; nil until join.
@@ -102,6 +110,11 @@
 	if c.panicValue != nil {
 		panic(c.panicValue)
 	}
+	for name, values := range c.header {
+		if strings.HasPrefix(name, http.TrailerPrefix) {
+			w.Header()[name] = values
+		}
+	}
 	return !c.isDeferred
 }
 
@@ -110,7 +123,7 @@
 	if c.serverWriter == nil || c.status == 0 {
 		return
 	}
-	maps.Copy(c.serverWriter.Header(), c.header)
+	maps.Copy(c.serverWriter.Header(), c.head)
 	if c.conn.entry.closesAfterAnswer(c.conn) {
 		c.serverWriter.Header().Set("Connection", "close")
 	}
@@ -118,6 +131,10 @@
 	c.status = 0
 	// An error is reported again by the next write or at the end of the handler.
 	_, _ = c.serverWriter.Write(c.buffered)
+	if c.isFlushed {
+		// Without it, the server could give a short answer a length, and there would be no trailers.
+		_ = http.NewResponseController(c.serverWriter).Flush()
+	}
 	c.buffered = nil
 	c.returnHeld()
 }
@@ -152,6 +169,7 @@
 func (c *earlyCall) WriteHeader(status int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.head = maps.Clone(c.header)
 	c.status = status
 	c.flushBuffered()
 }
@@ -179,6 +197,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.serverWriter == nil {
+		c.isFlushed = true
 		return nil
 	}
 	return http.NewResponseController(c.serverWriter).Flush()
