proxy, route: the path that the caller wrote decides on the route

Cause: entry and gatekeeper matched the decoded path, so that the escaped slash led to an idempotent route, while the path went on as it had come. Besides, trailing slashes of prefixes were cut, prefixes with escapes never matched, and net/url escaped bytes on the way that the caller had not escaped.

Change: on the platform, the literal path decides at both places and goes on unchanged. In the product's own interface an escaped slash stays a part of its segment, also in "verbenactl explain".

--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 	go test ./core/note -run '^$$' -fuzz '^FuzzParseCheckpoint$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	go test ./core/snap -run '^$$' -fuzz '^FuzzFold$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	go test ./core/snap -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
+	go test ./core/route -run '^$$' -fuzz '^FuzzMatch$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	go test ./platform -run '^$$' -fuzz '^FuzzDecode$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	go test ./io/proxy -run '^$$' -fuzz '^FuzzHeads$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
 	go test ./io/proxy -run '^$$' -fuzz '^FuzzChunks$$' -fuzztime $(FUZZTIME) -fuzzminimizetime 1x
--- a/core/route/explain.go
+++ b/core/route/explain.go
@@ -82,7 +82,7 @@
 // compareRoutes sorts longer prefixes first; of equal ones, routes with a tenant come first.
 func compareRoutes(a, b *Route) int {
 	return cmp.Or(
-		-cmp.Compare(len(normalPrefix(a.Spec.PathPrefix)), len(normalPrefix(b.Spec.PathPrefix))),
+		-cmp.Compare(len(prefixKey(&a.Spec)), len(prefixKey(&b.Spec))),
 		-cmp.Compare(min(len(a.Spec.Tenant), 1), min(len(b.Spec.Tenant), 1)),
 		cmp.Compare(a.Spec.Name, b.Spec.Name),
 	)
@@ -96,7 +96,7 @@
 	case r == found:
 		step.Reason = ReasonChosen
 		step.Detail = "service " + string(r.Spec.Service)
-	case !hasPrefix(request.Path, normalPrefix(r.Spec.PathPrefix)):
+	case !hasPrefix(request.Path, &r.Spec):
 		step.Reason = ReasonPath
 		step.Detail = "has prefix " + r.Spec.PathPrefix
 	case len(r.Spec.Methods) > 0 && !slices.Contains(r.Spec.Methods, request.Method):
@@ -105,7 +105,7 @@
 	case r.Spec.Tenant != "" && r.Spec.Tenant != request.Tenant:
 		step.Reason = ReasonTenant
 		step.Detail = "has tenant " + string(r.Spec.Tenant)
-	case normalPrefix(r.Spec.PathPrefix) != normalPrefix(found.Spec.PathPrefix):
+	case prefixKey(&r.Spec) != prefixKey(&found.Spec):
 		step.Reason = ReasonLongerPrefix
 		step.Detail = "precedes it: " + string(found.Spec.Name)
 	default:
@@ -115,13 +115,11 @@
 	return step
 }
 
-// hasPrefix reports whether a path begins with the segments of a prefix.
-func hasPrefix(path, prefix string) bool {
-	if prefix == "/" {
-		return strings.HasPrefix(path, "/")
-	}
+// hasPrefix reports whether a path begins with the prefix of a route, which has whole segments.
+func hasPrefix(path string, spec *core.RouteSpec) bool {
+	prefix := prefixKey(spec)
 	rest, ok := strings.CutPrefix(path, prefix)
-	return ok && (rest == "" || rest[0] == '/')
+	return ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(prefix, "/"))
 }
 
 // Explain returns the decision on each member of the service, best first. It does not affect
--- a/core/route/table.go
+++ b/core/route/table.go
@@ -21,7 +21,7 @@
 	intersections map[regionSetPair]*RegionSet
 }
 
-// hostRoutes holds the routes of one HTTP host by path prefix and tenant.
+// hostRoutes holds the routes of one HTTP host by prefixKey and tenant.
 type hostRoutes map[string]map[core.TenantName][]*Route
 
 type regionSetPair struct {
@@ -45,7 +45,8 @@
 type Request struct {
 	// Host may include a port and upper-case letters.
 	Host string
-	// Path is decoded and begins with a slash.
+	// Path begins with a slash. If the prefixes of the routes are literal, it is as the caller sent it,
+	// otherwise that of DecodedPath.
 	Path   string
 	Method string
 	// Tenant is empty for requests without a tenant.
@@ -107,7 +108,7 @@
 	if t.hosts[host] == nil {
 		t.hosts[host] = hostRoutes{}
 	}
-	prefix := normalPrefix(spec.PathPrefix)
+	prefix := prefixKey(&spec)
 	if t.hosts[host][prefix] == nil {
 		t.hosts[host][prefix] = map[core.TenantName][]*Route{}
 	}
@@ -209,42 +210,35 @@
 	return match, ""
 }
 
-// find looks up the whole path and then its ancestors up to the root.
+// find looks up the prefixes of the path that end at its end or at one of its slashes, the longest first.
 func (t *Table) find(request Request) *Route {
 	prefixes, ok := t.hosts[normalHost(request.Host)]
 	if !ok {
 		return nil
 	}
 	path := request.Path
-	for {
-		if tenants, ok := prefixes[path]; ok {
-			isWholePath := len(path) == len(request.Path) && path != "/"
-			if r := findMethod(tenants[request.Tenant], request.Method, isWholePath); r != nil {
+	for end := len(path); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if end < len(path) {
+			// A literal prefix ends with a slash.
+			if r := findRoute(prefixes[path[:end+1]], request); r != nil {
 				return r
 			}
-			if r := findMethod(tenants[""], request.Method, isWholePath); r != nil {
-				return r
-			}
-		}
-		if path == "/" || path == "" {
-			return nil
 		}
-		path = path[:max(strings.LastIndexByte(path, '/'), 0)]
-		if path == "" {
-			path = "/"
+		if r := findRoute(prefixes[path[:end]], request); r != nil {
+			return r
 		}
 	}
+	return nil
 }
 
-// findMethod returns the first route that allows a method, nil if none does. With IsLiteralPrefix a
-// route does not match a path that equals its prefix without the trailing slash.
-func findMethod(list []*Route, method string, isWholePath bool) *Route {
-	for _, r := range list {
-		if isWholePath && r.Spec.IsLiteralPrefix {
-			continue
-		}
-		if len(r.Spec.Methods) == 0 || slices.Contains(r.Spec.Methods, method) {
-			return r
+// findRoute returns the first route that allows the tenant and the method, nil if none does. Routes of the
+// tenant come first.
+func findRoute(tenants map[core.TenantName][]*Route, request Request) *Route {
+	for _, list := range [...][]*Route{tenants[request.Tenant], tenants[""]} {
+		for _, r := range list {
+			if len(r.Spec.Methods) == 0 || slices.Contains(r.Spec.Methods, request.Method) {
+				return r
+			}
 		}
 	}
 	return nil
@@ -258,11 +252,11 @@
 	return strings.ToLower(host)
 }
 
-// normalPrefix returns a prefix without trailing slashes, since prefixes match whole segments.
-func normalPrefix(prefix string) string {
-	trimmed := strings.TrimRight(prefix, "/")
-	if trimmed == "" {
-		return "/"
+// prefixKey returns the text by which find looks up the prefix of a route. Only that of a literal prefix and
+// the root end with a slash.
+func prefixKey(spec *core.RouteSpec) string {
+	if spec.IsLiteralPrefix {
+		return spec.PathPrefix
 	}
-	return trimmed
+	return cmp.Or(strings.TrimRight(spec.PathPrefix, "/"), "/")
 }
--- a/io/opctl/explain.go
+++ b/io/opctl/explain.go
@@ -8,6 +8,7 @@
 	"net/url"
 
 	"verbenaway/core"
+	"verbenaway/core/route"
 	"verbenaway/io/admin"
 )
 
@@ -39,7 +40,7 @@
 	}
 	answer, err := o.client().Explain(o.Admin, admin.Query{
 		Host:   requestURL.Host,
-		Path:   requestURL.Path,
+		Path:   route.DecodedPath(requestURL),
 		Method: o.Method,
 		Tenant: o.Tenant,
 	})
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -78,6 +78,14 @@
 	return "", ""
 }
 
+// routePath returns the path that decides on the route.
+func (c *call) routePath() string {
+	if c.entry.config.Dialect != nil {
+		return literalPath(c.request)
+	}
+	return route.DecodedPath(c.request.URL)
+}
+
 // copyHeaders copies the headers that are forwarded to the gatekeeper.
 func (c *call) copyHeaders() (core.ErrorKind, string) {
 	from := c.request.Header
@@ -148,7 +156,7 @@
 	c.tenant = c.identifyTenant()
 	query := route.Request{
 		Host:   request.Host,
-		Path:   request.URL.Path,
+		Path:   c.routePath(),
 		Method: request.Method,
 		Tenant: c.tenant,
 	}
--- a/io/proxy/entry_remote.go
+++ b/io/proxy/entry_remote.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -270,17 +269,9 @@
 		header = maps.Clone(header)
 		header["Expect"] = expectContinue
 	}
-	target := &url.URL{
-		Scheme:     "http",
-		Host:       c.choice.Host.GateAddress,
-		Path:       in.URL.Path,
-		RawPath:    in.URL.RawPath,
-		RawQuery:   in.URL.RawQuery,
-		ForceQuery: in.URL.ForceQuery,
-	}
 	out := &http.Request{
 		Method:        in.Method,
-		URL:           target,
+		URL:           forwardedURL(in, c.choice.Host.GateAddress),
 		Host:          in.Host,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -154,7 +154,7 @@
 	}
 	match, _ := table.Match(route.Request{
 		Host:   r.Host,
-		Path:   r.URL.Path,
+		Path:   literalPath(r),
 		Method: r.Method,
 		Tenant: core.TenantName(firstValue(r.Header, keyTenant)),
 	})
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -163,15 +162,8 @@
 
 func (c *gateCall) upstreamRequest(ctx context.Context, trace *gateTrace) *http.Request {
 	request := &http.Request{
-		Method: c.request.Method,
-		URL: &url.URL{
-			Scheme:     "http",
-			Host:       c.gate.config.UpstreamAddress,
-			Path:       c.request.URL.Path,
-			RawPath:    c.request.URL.RawPath,
-			RawQuery:   c.request.URL.RawQuery,
-			ForceQuery: c.request.URL.ForceQuery,
-		},
+		Method:        c.request.Method,
+		URL:           forwardedURL(c.request, c.gate.config.UpstreamAddress),
 		Host:          c.request.Host,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
