proxy: a refusal that needs confirmation rests on the configuration that is confirmed

Callers saw (TestUnknownRouteWithoutContact, arm64, 1 of 20 runs): 404 in place of 503 for a route of the newer configuration, just as the store is back.

If the answer of the store comes in between, the question is about the newer one.

Unknown API keys too.

--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -152,6 +152,22 @@
 // matchRoute finds the route and service and checks that this region may serve the request. It is
 // repeated before another attempt if the configuration has changed.
 func (c *call) matchRoute() (core.ErrorKind, string) {
+	for {
+		kind, detail := c.matchRouteInView()
+		if kind != core.NoRoute && kind != core.Unauthenticated {
+			return kind, detail
+		}
+		// What was confirmed after the match is the configuration in force now. Only if that is the one
+		// of the match, the refusal holds.
+		snapshot, _ := c.entry.config.Config.Snapshot()
+		if snapshot == nil || !c.view.table.Snapshot().IsBefore(snapshot) {
+			return kind, detail
+		}
+		c.view = c.entry.viewFor(snapshot)
+	}
+}
+
+func (c *call) matchRouteInView() (core.ErrorKind, string) {
 	request := c.request
 	c.tenant = c.identifyTenant()
 	query := route.Request{
