--- a/io/proxy/entry_confirmed_test.go
+++ b/io/proxy/entry_confirmed_test.go
@@ -40,8 +40,8 @@
 					return true
 				}
 			}, gateHost("a", address))
-			answer := rig.do(rig.request(http.MethodGet, "/added", ""))
-			c.Check(answer.status, qt.Equals, tc.want)
+			got := rig.do(rig.request(http.MethodGet, "/added", ""))
+			c.Check(got.status, qt.Equals, tc.want)
 		})
 	}
 }
