--- a/io/proxy/entry_closing.go
+++ b/io/proxy/entry_closing.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
 	"sync"
@@ -109,32 +108,3 @@
 		}
 	}
 }
-
-// sendProbe sends a probe with headers to a gatekeeper.
-func (e *Entry) sendProbe(ctx context.Context, address string, header http.Header) probeResult {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	request := (&http.Request{
-		Method: http.MethodGet,
-		URL: &url.URL{
-			Scheme: "http",
-			Host:   address,
-			Path:   "/",
-		},
-		Header: header,
-	}).WithContext(ctx)
-	response, err := e.transport.RoundTrip(request)
-	if err != nil {
-		return probeNoAnswer
-	}
-	defer func() {
-		_ = response.Body.Close()
-	}()
-	switch response.StatusCode {
-	case http.StatusNoContent:
-		return probeResponsive
-	case http.StatusServiceUnavailable:
-		return probeSilent
-	}
-	return probeNoAnswer
-}
--- a/io/proxy/entry_unresponsive.go
+++ b/io/proxy/entry_unresponsive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
@@ -166,4 +167,33 @@
 	return result.(probeResult)
 }
 
+// sendProbe sends a probe with headers to a gatekeeper.
+func (e *Entry) sendProbe(ctx context.Context, address string, header http.Header) probeResult {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	request := (&http.Request{
+		Method: http.MethodGet,
+		URL: &url.URL{
+			Scheme: "http",
+			Host:   address,
+			Path:   "/",
+		},
+		Header: header,
+	}).WithContext(ctx)
+	response, err := e.transport.RoundTrip(request)
+	if err != nil {
+		return probeNoAnswer
+	}
+	defer func() {
+		_ = response.Body.Close()
+	}()
+	switch response.StatusCode {
+	case http.StatusNoContent:
+		return probeResponsive
+	case http.StatusServiceUnavailable:
+		return probeSilent
+	}
+	return probeNoAnswer
+}
+
 var probeValue = []string{"true"}
