--- a/io/proxy/answer_check.go
+++ b/io/proxy/answer_check.go
@@ -23,9 +23,12 @@
 	if !httpguts.ValidHeaderFieldValue(response.Status) {
 		return errors.Newf("status line %q", response.Status)
 	}
+	if response.ProtoMajor != 1 {
+		return errors.Newf("version %q", response.Proto)
+	}
 	// The transport ignores chunks in HTTP/1.0, so that their framing would become a part of the body.
-	if response.ProtoMajor != 1 || !response.ProtoAtLeast(1, 1) && response.ContentLength < 0 {
-		return errors.Newf("%s without a length", response.Proto)
+	if response.ProtoMinor == 0 && response.ContentLength < 0 {
+		return errors.Newf("version %q without a length", response.Proto)
 	}
 	if length := firstValue(response.Header, "Content-Length"); response.StatusCode == http.StatusNoContent && length != "" && length != "0" {
 		return errors.Newf("status %q with %s bytes", response.Status, length)
--- a/io/proxy/entry_closing.go
+++ b/io/proxy/entry_closing.go
@@ -21,7 +21,8 @@
 // safe for concurrent use.
 type closing struct {
 	mu sync.Mutex
-	// at is the time at which the connections are closed, zero if the entry is not leaving.
+	// at is the time by which an answer is of use, a little before the connections are closed; zero if the
+	// entry is not leaving.
 	at time.Time
 	// attempts counts the attempts in progress by the address of their gatekeeper.
 	attempts map[string]int
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -115,6 +115,7 @@
 	return c.answer(response)
 }
 
+// malformedAnswer begins the detail of an answer that checkHead does not accept.
 const malformedAnswer = "the answer is malformed: "
 
 // resolveInstance sets the instance to the process registered now: another one may have taken
