proxy, platform: logs and metrics show the limit that an upstream names

Change: event upstreamLimit, metrics gateSent and upstreamRateLimit, and the sender in the decisions of the gatekeeper. Nothing is decided by them. A value that is no number of requests neither counts as a limit nor ends one. Result: TestUpstreamNotice; go test ./io/proxy and the two tests of ./platform that concern it pass.

--- a/core/dialect.go
+++ b/core/dialect.go
@@ -31,6 +31,8 @@
 	// UpstreamLoad returns the load that an upstream reports with an answer; ok is false if it reports
 	// none.
 	UpstreamLoad(answer http.Header) (load UpstreamLoad, ok bool)
+	// UpstreamNotice returns what an upstream says of itself with an answer.
+	UpstreamNotice(answer http.Header) UpstreamNotice
 	// SetRefusalHeaders sets the headers of a refusal for the caller and returns its status.
 	SetRefusalHeaders(header http.Header, refusal Refusal) (status int)
 }
@@ -120,6 +122,9 @@
 	Service   ServiceName
 	// Tenant is empty for requests without a tenant.
 	Tenant TenantName
+	// Sender is the host of the entry that sent the request to a gatekeeper, empty in decisions of the
+	// entry.
+	Sender HostName
 	// Host is the host of the upstream concerned, empty if there is none.
 	Host     HostName
 	Instance string
--- a/core/event.go
+++ b/core/event.go
@@ -55,6 +55,7 @@
 	EventSettingsRead   EventKind = "settingsRead"
 	EventServerFailed   EventKind = "serverFailed"
 	EventQuotaExceeded  EventKind = "quotaExceeded"
+	EventUpstreamLimit  EventKind = "upstreamLimit"
 )
 
 // EventKindInfo describes one event kind for help and reference pages.
@@ -91,6 +92,7 @@
 	{Kind: EventSettingsRead, Meaning: "The settings file was read again."},
 	{Kind: EventServerFailed, Meaning: "The daemon no longer accepts connections on one of its addresses."},
 	{Kind: EventQuotaExceeded, Meaning: "Requests of a tenant were refused because of its quota; at most one event per tenant and ten seconds."},
+	{Kind: EventUpstreamLimit, Meaning: "The upstream named another limit on the requests that it takes, or none any more; at most one event a second."},
 }
 
 // Event is one entry of the timeline.
--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -26,6 +26,7 @@
 	putText(fields, "route", decision.Route)
 	putText(fields, "service", decision.Service)
 	putText(fields, "tenant", decision.Tenant)
+	putText(fields, "sender", decision.Sender)
 	putText(fields, "upstream", decision.Host)
 	putText(fields, "instance", decision.Instance)
 	putNumber(fields, "version", decision.Version)
--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -19,7 +19,7 @@
 )
 
 // fakeDialect uses the headers X-Id, X-Wait (the timeout in milliseconds), X-Instance, X-NotRun,
-// X-Signed, X-Kind, X-Key (the API key) and X-Tenant.
+// X-Signed, X-Kind, X-Key (the API key), X-Tenant and X-RateLimit.
 type fakeDialect struct{}
 
 func (fakeDialect) Timeout(header http.Header) (time.Duration, bool, error) {
@@ -71,6 +71,14 @@
 	}, err == nil
 }
 
+func (fakeDialect) UpstreamNotice(answer http.Header) core.UpstreamNotice {
+	limit, err := strconv.ParseFloat(answer.Get("X-RateLimit"), 64)
+	return core.UpstreamNotice{
+		RateLimit:    limit,
+		HasRateLimit: err == nil,
+	}
+}
+
 func (fakeDialect) SetRefusalHeaders(header http.Header, refusal core.Refusal) int {
 	header.Set("X-Kind", string(refusal.Kind))
 	if refusal.Kind.Info().NotRun {
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"verbenaway/core"
 	"verbenaway/core/admit"
 	"verbenaway/core/dedup"
@@ -78,6 +80,11 @@
 	// connectBackoffUntil is the end of the backoff after a failed connection attempt. Until then
 	// requests are refused at once, since another attempt could wait until the dial timeout.
 	connectBackoffUntil time.Time
+	// rateLimit is what the latest answer of the upstream named, if hasRateLimit is set.
+	rateLimit    float64
+	hasRateLimit bool
+
+	rateLimitEvents *rate.Limiter
 
 	keys      gateKeys
 	transport gateTransport
@@ -123,6 +130,8 @@
 		}),
 		link: route.NewLinkQueue(config.LinkRate),
 		idle: make(chan struct{}, 1),
+
+		rateLimitEvents: rate.NewLimiter(rate.Every(time.Second), 1),
 	}
 	g.refusals.record = g.record
 	g.transport.config = &g.config
--- a/io/proxy/gate_events.go
+++ b/io/proxy/gate_events.go
@@ -16,6 +16,8 @@
 	// Requests counts all requests, Admitted those that got a slot.
 	Requests expvar.Int
 	Admitted expvar.Int
+	// Sent counts the requests that were passed on to the upstream, also those that it refused.
+	Sent expvar.Int
 	// Answered counts complete answers of the upstream, Aborted those that broke off.
 	Answered expvar.Int
 	Aborted  expvar.Int
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -72,6 +72,7 @@
 	}
 	defer trace.release()
 	c.outcome = gateUnknown
+	c.gate.counters.Sent.Add(1)
 	c.logDecision(core.DecisionAdmitted, "", "")
 	response, err := transport.RoundTrip(c.upstreamRequest(ctx, trace))
 	if trace.isReplayed() {
@@ -145,6 +146,10 @@
 			Detail:       "the answer may be a copy of an earlier one on its connection",
 		}
 	}
+	if !class.IsMismatched && class.Kind != core.NoUpstream {
+		// The notice is that of the registered upstream.
+		c.observeNotice(response.Header)
+	}
 	switch {
 	case class.IsMismatched:
 		// More unrequested answers may follow on the connection.
