admit, proxy: the gatekeeper keeps to the limit that its upstream names

Callers saw slow or failed requests at an upstream in need, which got as many as before. Cause: no part of the request path read what an upstream says of itself; slots bound how many requests run at once, and only a cold start bounded their rate. Change: the gatekeeper sees all requests to its upstream, so it bounds their starts: a token bucket with the named rate and a quarter of a second as burst. Load, queue time and Retry-After count the wait, so that entries choose other upstreams and callers learn when to come back. Requests that the upstream refuses count. A limit ends with an answer to a later request that names none, if it was not named for a second, or with the process. A value without a usable number changes nothing.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -134,6 +134,7 @@
 	upstream         *Upstream
 	assumedColdUntil time.Time
 	starts           startWindow
+	rateLimit        rateLimit
 	link             room.Link
 	serviceTimes     serviceTimes
 	slowness         slowness
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -194,7 +194,7 @@
 		}
 		wait = max(wait, coldWait)
 	}
-	return wait
+	return max(wait, c.rateLimit.wait(now, ahead))
 }
 
 // remainingQueueTime returns the queue time that a waiting request has left.
@@ -227,6 +227,7 @@
 	if c.service.ColdRate > 0 {
 		c.starts.record(now, c.coldPerSecond())
 	}
+	c.rateLimit.count(now)
 	if ticket.class == core.ClassBulk {
 		c.bulkInFlight++
 	}
--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -42,6 +42,7 @@
 	if upstream != nil {
 		record := *upstream
 		c.upstream = &record
+		c.rateLimit.setInstance(upstream.Instance)
 	}
 	if before == nil || upstream == nil || before.Instance != upstream.Instance {
 		c.serviceTimes.reset()
@@ -102,20 +103,34 @@
 	return max(int(c.service.ColdRate), 1)
 }
 
-// allowsStart tells whether the rate limit of a cold start, if it applies, allows a request now.
+// allowsStart tells whether the rate limits of a cold start and of the upstream itself, as far as they
+// apply, allow a request now.
 func (c *Controller) allowsStart(now time.Time) bool {
-	return !c.isCold(now) || c.starts.allows(now, c.coldPerSecond())
+	return (!c.isCold(now) || c.starts.allows(now, c.coldPerSecond())) && c.rateLimit.allows(now)
 }
 
-// NextGrant returns the time at which the caller has to call Grant, because the rate limit of a
-// cold start then lets a waiting request start, or the link has room for its body; zero if no request
-// waits for either.
+// NextGrant returns the time at which the caller has to call Grant, because the rate limits of a
+// cold start and of the upstream itself then let a waiting request start, or the link has room for its
+// body; zero if no request waits for any of them.
 func (c *Controller) NextGrant(now time.Time) time.Time {
 	if c.waiting() == 0 || c.inFlight >= c.limit() {
 		return time.Time{}
 	}
+	var next time.Time
+	if wait := c.rateLimit.wait(now, 0); wait > 0 {
+		next = now.Add(max(wait, minGrantWait))
+	}
 	if c.isCold(now) {
-		return c.starts.nextFree(c.coldPerSecond())
+		if free := c.starts.nextFree(c.coldPerSecond()); free.After(next) {
+			next = free
+		}
+	}
+	if !next.IsZero() {
+		return next
+	}
+	if c.rateLimit.limiter != nil && c.next(now) != nil {
+		// The time of the grant has come.
+		return now
 	}
 	return c.link.NextRoom()
 }
@@ -135,6 +150,9 @@
 	if c.isCold(now) {
 		limit = min(limit, inFlight+c.starts.remaining(now, c.coldPerSecond()))
 	}
+	if c.rateLimit.limiter != nil {
+		limit = min(limit, inFlight+c.rateLimit.remaining(now))
+	}
 	return inFlight, limit
 }
 
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -80,9 +80,6 @@
 	// connectBackoffUntil is the end of the backoff after a failed connection attempt. Until then
 	// requests are refused at once, since another attempt could wait until the dial timeout.
 	connectBackoffUntil time.Time
-	// rateLimit is what the latest answer of the upstream named, if hasRateLimit is set.
-	rateLimit    float64
-	hasRateLimit bool
 
 	rateLimitEvents *rate.Limiter
 
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -43,6 +43,8 @@
 	inFlight int
 	limit    int
 	started  time.Time
+	// sentAt is the time at which the request was passed on to the upstream.
+	sentAt time.Time
 	// instance is the process that the request is sent to; empty if the platform has no instance
 	// names.
 	instance string
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -72,6 +72,7 @@
 	}
 	defer trace.release()
 	c.outcome = gateUnknown
+	c.sentAt = c.gate.config.Clock.Now()
 	c.gate.counters.Sent.Add(1)
 	c.logDecision(core.DecisionAdmitted, "", "")
 	response, err := transport.RoundTrip(c.upstreamRequest(ctx, trace))
--- a/io/proxy/gate_notice.go
+++ b/io/proxy/gate_notice.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"verbenaway/core"
+	"verbenaway/core/admit"
 )
 
 // observeNotice records what the upstream says of itself in the headers of an answer.
@@ -15,11 +16,18 @@
 		return
 	}
 	g.mu.Lock()
-	isChanged := notice.HasRateLimit != g.hasRateLimit || notice.RateLimit != g.rateLimit
-	g.rateLimit, g.hasRateLimit = notice.RateLimit, notice.HasRateLimit
+	now := g.config.Clock.Now()
+	isChanged, wakes := g.admission.RecordRate(now, admit.RateReport{
+		Instance:  c.instance,
+		PerSecond: notice.RateLimit,
+		HasLimit:  notice.HasRateLimit,
+		SentAt:    c.sentAt,
+	})
+	g.deliverWakes(wakes)
+	g.scheduleGrant(now)
 	g.mu.Unlock()
 	if isChanged {
-		g.recordRateLimit(c.instance, notice.RateLimit, notice.HasRateLimit)
+		g.recordRateLimit(c.instance, notice)
 	}
 }
 
@@ -28,18 +36,18 @@
 func (g *Gate) RateLimit() (perSecond float64, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.rateLimit, g.hasRateLimit
+	return g.admission.RateLimit()
 }
 
 // recordRateLimit records a change of the limit that the upstream names. An upstream may name another
 // one with each answer, so that the events are limited.
-func (g *Gate) recordRateLimit(instance string, perSecond float64, hasLimit bool) {
+func (g *Gate) recordRateLimit(instance string, notice core.UpstreamNotice) {
 	if !g.rateLimitEvents.AllowN(g.config.Clock.Now(), 1) {
 		return
 	}
 	detail := "none any more"
-	if hasLimit {
-		detail = strconv.FormatFloat(perSecond, 'g', -1, 64) + " requests a second"
+	if notice.HasRateLimit {
+		detail = strconv.FormatFloat(notice.RateLimit, 'g', -1, 64) + " requests a second"
 	}
 	g.record(core.EventUpstreamLimit, instance, detail)
 }
