proxy, admit, route: the limit of an upstream outlives a restart of its gatekeeper

Callers: an upstream in need got a burst after each start of the daemon beside it. Cause: only the gatekeeper knew the limit, in its memory. After a start it passed on every request that other hosts sent until the first answer came, though these hosts had passed on answers with the limit. Change: an entry remembers what a process named in the answers that it passed on, and sends it along with the name of the process (Verbenaway-RateLimit, Verbenaway-Instance). A gatekeeper that has had no answer of this process takes it over; its own answers go before it.

--- a/core/admit/ratelimit.go
+++ b/core/admit/ratelimit.go
@@ -35,11 +35,14 @@
 
 // rateLimit bounds the requests that start by the limit that the upstream names.
 type rateLimit struct {
+	// instance is the process to which the other fields belong.
+	instance string
+	// hasReport is set once an answer has arrived here.
+	hasReport bool
 	// limiter is nil if there is no limit.
 	limiter *rate.Limiter
 	// perSecond is the limit as the upstream named it, valid if limiter is not nil.
 	perSecond float64
-	instance  string
 	// namedAt is the time of the latest answer that named the limit.
 	namedAt time.Time
 }
@@ -58,29 +61,43 @@
 	return isChanged, c.wakes
 }
 
+// AdoptRate records the limit that an instance has named in an answer to another host. It counts until the
+// first answer arrives here, so that the limit outlives a restart of the gatekeeper.
+func (c *Controller) AdoptRate(now time.Time, instance string, perSecond float64) (isChanged bool) {
+	if c.upstream == nil || c.upstream.Instance != instance || c.rateLimit.hasReport || c.rateLimit.limiter != nil {
+		return false
+	}
+	return c.rateLimit.set(now, perSecond)
+}
+
 // RateLimit returns the limit that the upstream names, in requests a second; ok is false if it names none.
 func (c *Controller) RateLimit() (perSecond float64, ok bool) {
 	return c.rateLimit.perSecond, c.rateLimit.limiter != nil
 }
 
 func (l *rateLimit) record(now time.Time, report RateReport) (isChanged bool) {
-	if !report.HasLimit || report.PerSecond > maxRateLimit {
-		// The answer to a request that was passed on before the limit was named may be older than it.
-		if l.limiter == nil || !report.SentAt.After(l.namedAt) || now.Sub(l.namedAt) < rateLimitHold {
-			return false
-		}
-		*l = rateLimit{}
-		return true
+	l.hasReport = true
+	if report.HasLimit && report.PerSecond <= maxRateLimit {
+		return l.set(now, report.PerSecond)
+	}
+	// The answer to a request that was passed on before the limit was named may be older than it.
+	if l.limiter == nil || !report.SentAt.After(l.namedAt) || now.Sub(l.namedAt) < rateLimitHold {
+		return false
 	}
-	isChanged = l.limiter == nil || l.perSecond != report.PerSecond
-	l.perSecond, l.instance, l.namedAt = report.PerSecond, report.Instance, now
-	perSecond := max(report.PerSecond, minRateLimit)
+	l.limiter = nil
+	return true
+}
+
+// set sets the limit and keeps what was counted towards it.
+func (l *rateLimit) set(now time.Time, named float64) (isChanged bool) {
+	isChanged = l.limiter == nil || l.perSecond != named
+	l.perSecond, l.namedAt = named, now
+	perSecond := max(named, minRateLimit)
 	burst := max(int(math.Ceil(perSecond*rateLimitBurst.Seconds())), 1)
-	if l.limiter == nil {
+	switch {
+	case l.limiter == nil:
 		l.limiter = rate.NewLimiter(rate.Limit(perSecond), burst)
-		return true
-	}
-	if isChanged {
+	case isChanged:
 		l.limiter.SetLimitAt(now, rate.Limit(perSecond))
 		l.limiter.SetBurstAt(now, burst)
 	}
@@ -90,7 +107,9 @@
 // setInstance ends the limit if another process has taken the place of the one that named it.
 func (l *rateLimit) setInstance(instance string) {
 	if l.instance != instance {
-		*l = rateLimit{}
+		*l = rateLimit{
+			instance: instance,
+		}
 	}
 }
 
--- a/core/admit/ratelimit_test.go
+++ b/core/admit/ratelimit_test.go
@@ -31,15 +31,15 @@
 		least int
 		most  int
 	}{
-		{name: "steady", rates: []namedRate{{0, 20}}, least: 75, most: 125},
-		{name: "below one a second", rates: []namedRate{{0, 0.4}}, least: 1, most: 7},
-		{name: "zero", rates: []namedRate{{0, 0}}, from: 3 * time.Second, least: 1, most: 5},
-		{name: "lowered", rates: []namedRate{{0, 40}, {3 * time.Second, 10}}, from: 3 * time.Second, least: 36, most: 65},
-		{name: "raised", rates: []namedRate{{0, 2}, {3 * time.Second, 30}}, from: 3 * time.Second, least: 110, most: 185},
-		{name: "named in one of three answers", rates: []namedRate{{0, 20}}, skipped: 2, least: 75, most: 125},
-		{name: "ended", rates: []namedRate{{0, 5}, {3 * time.Second, -1}}, from: 5 * time.Second, least: 300, most: 1000},
-		{name: "another process", rates: []namedRate{{0, 5}, {3 * time.Second, -1}}, replacedAt: 3 * time.Second, from: 3 * time.Second, least: 300, most: 1000},
-		{name: "more than there are requests", rates: []namedRate{{0, 1e300}}, least: 300, most: 1000},
+		{name: "steady", rates: []namedRate{{perSecond: 20}}, least: 75, most: 125},
+		{name: "below one a second", rates: []namedRate{{perSecond: 0.4}}, least: 1, most: 7},
+		{name: "zero", rates: []namedRate{{perSecond: 0}}, from: 3 * time.Second, least: 1, most: 5},
+		{name: "lowered", rates: []namedRate{{perSecond: 40}, {from: 3 * time.Second, perSecond: 10}}, from: 3 * time.Second, least: 36, most: 65},
+		{name: "raised", rates: []namedRate{{perSecond: 2}, {from: 3 * time.Second, perSecond: 30}}, from: 3 * time.Second, least: 110, most: 185},
+		{name: "named in one of three answers", rates: []namedRate{{perSecond: 20}}, skipped: 2, least: 75, most: 125},
+		{name: "ended", rates: []namedRate{{perSecond: 5}, {from: 3 * time.Second, perSecond: -1}}, from: 5 * time.Second, least: 300, most: 1000},
+		{name: "another process", rates: []namedRate{{perSecond: 5}, {from: 3 * time.Second, perSecond: -1}}, replacedAt: 3 * time.Second, from: 3 * time.Second, least: 300, most: 1000},
+		{name: "more than there are requests", rates: []namedRate{{perSecond: 1e300}}, least: 300, most: 1000},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -41,6 +41,7 @@
 }
 
 func (c *call) writeHeader(status int, from http.Header) {
+	c.recordNotice(from)
 	to := c.reply.w.Header()
 	for name, values := range from {
 		if !notForCaller[name] {
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -268,6 +268,7 @@
 		return
 	}
 	c.header[keyService] = []string{string(c.service.Name)}
+	c.setNoticeHeaders()
 	delete(c.header, keyNoWait)
 	if c.choice.HasFreeSlot && c.attempts < firstQueuedAttempt {
 		c.header[keyNoWait] = noWaitValue
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -48,6 +48,8 @@
 	// instance is the process that the request is sent to; empty if the platform has no instance
 	// names.
 	instance string
+	// hasNotice means that the upstream said something of itself in its answer.
+	hasNotice bool
 	// reachedUpstream means that the upstream may have received the request.
 	reachedUpstream bool
 	retryAfter      time.Duration
@@ -202,6 +204,7 @@
 	defer g.mu.Unlock()
 	now := g.config.Clock.Now()
 	g.configure(now, c.snapshot)
+	c.adoptRate(now)
 	if now.Before(g.connectBackoffUntil) {
 		return admit.Decision{
 			Kind:   core.NoUpstream,
--- a/io/proxy/gate_notice.go
+++ b/io/proxy/gate_notice.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"verbenaway/core"
 	"verbenaway/core/admit"
@@ -12,6 +13,7 @@
 func (c *gateCall) observeNotice(answer http.Header) {
 	g := c.gate
 	notice := g.config.Dialect.UpstreamNotice(answer)
+	c.hasNotice = notice != core.UpstreamNotice{}
 	if notice.IsRateLimitInvalid {
 		return
 	}
@@ -27,7 +29,24 @@
 	g.scheduleGrant(now)
 	g.mu.Unlock()
 	if isChanged {
-		g.recordRateLimit(c.instance, notice)
+		g.recordRateLimit(c.instance, describeRate(notice))
+	}
+}
+
+// adoptRate takes the limit that the sender of a request knows. The caller holds mu.
+func (c *gateCall) adoptRate(now time.Time) {
+	g := c.gate
+	text := firstValue(c.request.Header, keyRateLimit)
+	if text == "" || g.config.Dialect == nil {
+		return
+	}
+	instance := firstValue(c.request.Header, keyInstance)
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(perSecond >= 0) {
+		return
+	}
+	if g.admission.AdoptRate(now, instance, perSecond) {
+		g.recordRateLimit(instance, text+" requests a second, as "+string(c.admitRequest.Sender)+" says")
 	}
 }
 
@@ -41,13 +60,15 @@
 
 // recordRateLimit records a change of the limit that the upstream names. An upstream may name another
 // one with each answer, so that the events are limited.
-func (g *Gate) recordRateLimit(instance string, notice core.UpstreamNotice) {
-	if !g.rateLimitEvents.AllowN(g.config.Clock.Now(), 1) {
-		return
+func (g *Gate) recordRateLimit(instance, detail string) {
+	if g.rateLimitEvents.AllowN(g.config.Clock.Now(), 1) {
+		g.record(core.EventUpstreamLimit, instance, detail)
 	}
-	detail := "none any more"
-	if notice.HasRateLimit {
-		detail = strconv.FormatFloat(notice.RateLimit, 'g', -1, 64) + " requests a second"
+}
+
+func describeRate(notice core.UpstreamNotice) string {
+	if !notice.HasRateLimit {
+		return "none any more"
 	}
-	g.record(core.EventUpstreamLimit, instance, detail)
+	return strconv.FormatFloat(notice.RateLimit, 'g', -1, 64) + " requests a second"
 }
--- a/io/proxy/gate_report.go
+++ b/io/proxy/gate_report.go
@@ -56,6 +56,9 @@
 		header[keyHostLoad] = []string{string(hostLoad)}
 	}
 	header[keyLoad] = []string{string(load)}
+	if c.hasNotice {
+		header[keyInstance] = []string{c.instance}
+	}
 	if c.body != nil && !c.body.isAtEnd() {
 		// In full-duplex mode the server cannot reuse a connection whose request body was not
 		// read completely: it panics with "invalid concurrent Body.Read call" or parses the rest
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -40,6 +40,11 @@
 	// leaving, in whole milliseconds. An answer is of no use to it afterwards. Together with HeaderProbe,
 	// it holds for all queued requests of the sender.
 	HeaderCloses = "Verbenaway-ClosesMs"
+	// HeaderRateLimit is the number of requests a second that the upstream takes from all hosts
+	// together, as the process that HeaderInstance names said in an answer to the sender. In an answer
+	// HeaderInstance names the process that has sent it.
+	HeaderRateLimit = "Verbenaway-RateLimit"
+	HeaderInstance  = "Verbenaway-Instance"
 	// HeaderLoad in an answer is "inFlight/limit" of the upstream that sent it. Where upstreams
 	// register themselves, "/queueUs/serviceUs/failedPermille" follows: the expected queue time
 	// and service time of a new request of the route, in microseconds, and the failure ratio of
@@ -75,6 +80,8 @@
 	keyDepth       = http.CanonicalHeaderKey(HeaderDepth)
 	keyError       = http.CanonicalHeaderKey(HeaderError)
 	keyHomeRegions = http.CanonicalHeaderKey(HeaderHomeRegions)
+	keyInstance    = http.CanonicalHeaderKey(HeaderInstance)
+	keyRateLimit   = http.CanonicalHeaderKey(HeaderRateLimit)
 	keyIdempotency = http.CanonicalHeaderKey(HeaderIdempotencyKey)
 	keyHostLoad    = http.CanonicalHeaderKey(HeaderHostLoad)
 	keyLoad        = http.CanonicalHeaderKey(HeaderLoad)
@@ -133,5 +140,7 @@
 	HeaderRetryAfter,
 	HeaderProbe,
 	HeaderCloses,
+	HeaderRateLimit,
+	HeaderInstance,
 	HeaderHostLoad,
 }
