proxy, admit, route: an upstream that says in an answer that it leaves gets no more requests

Callers: requests went on to an upstream that leaves, as long as its entry in the store said that it is ready, and were lost with it. Cause: only the store's state of an upstream counted; what it says itself in its answers was passed on unread. Change: the gatekeeper refuses waiting and further requests to a process that says Server-Leaving: 1, so that they go elsewhere. An entry that passes such an answer on does not choose the process again, whatever becomes of the daemon beside it or of its entry in the store; the state ends with the process. Event upstreamLeaving.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -131,7 +131,9 @@
 	granted  room.Demand
 	draining bool
 	// upstream is the record given to SetUpstream, nil if there is none.
-	upstream         *Upstream
+	upstream *Upstream
+	// leavingInstance is the process that has said in an answer that it leaves, "" if none.
+	leavingInstance  string
 	assumedColdUntil time.Time
 	starts           startWindow
 	rateLimit        rateLimit
--- a/core/admit/check.go
+++ b/core/admit/check.go
@@ -57,7 +57,7 @@
 	if service != c.serviceName() || c.service.Slots < 1 {
 		return core.NoUpstream, "this host does not carry the service"
 	}
-	if c.upstream != nil && c.upstream.IsLeaving {
+	if c.upstream != nil && (c.upstream.IsLeaving || c.upstream.Instance == c.leavingInstance && c.leavingInstance != "") {
 		return core.Leaving, "the upstream is leaving"
 	}
 	return "", ""
--- a/core/admit/ratelimit_test.go
+++ b/core/admit/ratelimit_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"verbenaway/core"
 	"verbenaway/core/admit"
 )
 
@@ -103,3 +104,21 @@
 	_, ok = rig.controller.RateLimit()
 	c.Assert(ok, qt.IsFalse)
 }
+
+// TestLeavingRefusesWaiting guards against requests that wait on for an upstream that has said in an
+// answer that it leaves, and against a process that is refused because of an earlier one.
+func TestLeavingRefusesWaiting(t *testing.T) {
+	c := qt.New(t)
+	rig := newLoadRig(0)
+	for range 6 {
+		c.Assert(rig.offer("lookup").Kind, qt.Equals, core.ErrorKind(""))
+	}
+	isNew, wakes := rig.controller.RecordLeaving("i1")
+	c.Assert(isNew, qt.IsTrue)
+	c.Assert(len(wakes), qt.Equals, 2)
+	c.Assert(wakes[0].Kind, qt.Equals, core.Leaving)
+	c.Assert(rig.offer("lookup").Kind, qt.Equals, core.Leaving)
+	rig.upstream.Instance = "i2"
+	rig.controller.SetUpstream(rig.now, &rig.upstream)
+	c.Assert(rig.offer("lookup").Kind, qt.Equals, core.ErrorKind(""))
+}
--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -19,6 +19,21 @@
 	IsLeaving bool
 }
 
+// RecordLeaving records that a process has said in an answer that it leaves. All waiting and further
+// requests to it are refused. The wakes are valid until the next call.
+func (c *Controller) RecordLeaving(instance string) (isNew bool, wakes []Wake) {
+	c.wakes = c.wakes[:0]
+	if c.upstream == nil || c.upstream.Instance != instance || c.leavingInstance == instance {
+		return false, nil
+	}
+	c.leavingInstance = instance
+	c.refuseWaiting(func(ticket *Ticket) (core.ErrorKind, string) {
+		_, kind, detail := c.check(&ticket.request)
+		return kind, detail
+	})
+	return true, c.wakes
+}
+
 // UpstreamOf returns the record of a member.
 func UpstreamOf(member core.Member) Upstream {
 	return Upstream{
--- a/core/event.go
+++ b/core/event.go
@@ -29,33 +29,34 @@
 
 // The event kinds; EventKinds describes them.
 const (
-	EventStarted        EventKind = "started"
-	EventReady          EventKind = "ready"
-	EventVersionSeen    EventKind = "versionSeen"
-	EventVersionApplied EventKind = "versionApplied"
-	EventNoteRefused    EventKind = "noteRefused"
-	EventHistoryRefused EventKind = "historyRefused"
-	EventMemberChanged  EventKind = "memberChanged"
-	EventRoleTaken      EventKind = "roleTaken"
-	EventRoleLeft       EventKind = "roleLeft"
-	EventZoneOut        EventKind = "availabilityZoneOut"
-	EventZoneBack       EventKind = "availabilityZoneBack"
-	EventDrainBegun     EventKind = "drainBegun"
-	EventDrainEnded     EventKind = "drainEnded"
-	EventRampChanged    EventKind = "rampChanged"
-	EventRequestRefused EventKind = "requestRefused"
-	EventViewSuspect    EventKind = "viewSuspect"
-	EventViewConfirmed  EventKind = "viewConfirmed"
-	EventStoreFailed    EventKind = "storeFailed"
-	EventStoreRecovered EventKind = "storeRecovered"
-	EventStoreRestored  EventKind = "storeRestored"
-	EventSourceFailed   EventKind = "sourceFailed"
-	EventWatchSilent    EventKind = "watchSilent"
-	EventValueRefused   EventKind = "valueRefused"
-	EventSettingsRead   EventKind = "settingsRead"
-	EventServerFailed   EventKind = "serverFailed"
-	EventQuotaExceeded  EventKind = "quotaExceeded"
-	EventUpstreamLimit  EventKind = "upstreamLimit"
+	EventStarted         EventKind = "started"
+	EventReady           EventKind = "ready"
+	EventVersionSeen     EventKind = "versionSeen"
+	EventVersionApplied  EventKind = "versionApplied"
+	EventNoteRefused     EventKind = "noteRefused"
+	EventHistoryRefused  EventKind = "historyRefused"
+	EventMemberChanged   EventKind = "memberChanged"
+	EventRoleTaken       EventKind = "roleTaken"
+	EventRoleLeft        EventKind = "roleLeft"
+	EventZoneOut         EventKind = "availabilityZoneOut"
+	EventZoneBack        EventKind = "availabilityZoneBack"
+	EventDrainBegun      EventKind = "drainBegun"
+	EventDrainEnded      EventKind = "drainEnded"
+	EventRampChanged     EventKind = "rampChanged"
+	EventRequestRefused  EventKind = "requestRefused"
+	EventViewSuspect     EventKind = "viewSuspect"
+	EventViewConfirmed   EventKind = "viewConfirmed"
+	EventStoreFailed     EventKind = "storeFailed"
+	EventStoreRecovered  EventKind = "storeRecovered"
+	EventStoreRestored   EventKind = "storeRestored"
+	EventSourceFailed    EventKind = "sourceFailed"
+	EventWatchSilent     EventKind = "watchSilent"
+	EventValueRefused    EventKind = "valueRefused"
+	EventSettingsRead    EventKind = "settingsRead"
+	EventServerFailed    EventKind = "serverFailed"
+	EventQuotaExceeded   EventKind = "quotaExceeded"
+	EventUpstreamLimit   EventKind = "upstreamLimit"
+	EventUpstreamLeaving EventKind = "upstreamLeaving"
 )
 
 // EventKindInfo describes one event kind for help and reference pages.
@@ -93,6 +94,7 @@
 	{Kind: EventServerFailed, Meaning: "The daemon no longer accepts connections on one of its addresses."},
 	{Kind: EventQuotaExceeded, Meaning: "Requests of a tenant were refused because of its quota; at most one event per tenant and ten seconds."},
 	{Kind: EventUpstreamLimit, Meaning: "The upstream named another limit on the requests that it takes, or none any more; at most one event a second."},
+	{Kind: EventUpstreamLeaving, Meaning: "The upstream said in an answer that it leaves, and gets no new requests."},
 }
 
 // Event is one entry of the timeline.
--- a/core/notice.go
+++ b/core/notice.go
@@ -9,4 +9,6 @@
 	// IsRateLimitInvalid says that the upstream names a limit that is no number of requests. The one
 	// that it named before still holds.
 	IsRateLimitInvalid bool
+	// IsLeaving says that the upstream leaves and is to get no new requests.
+	IsLeaving bool
 }
--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -26,6 +26,7 @@
 	config  BalancerConfig
 	budget  regionBudget
 	answers answerSizes
+	notices notices
 	// serviceTimes holds the mean service time of each route over all upstreams.
 	serviceTimes routeTimes
 	// mu guards writes to services and to the states in it.
@@ -46,6 +47,8 @@
 type group struct {
 	members  []core.Member
 	snapshot *core.Snapshot
+	// leavingCount is that of the notices when the group was built.
+	leavingCount int64
 	// slots is the limit of upstreams that report none.
 	slots int
 	// alive and suspect hold a tier for the local availability zone, one for the rest of the
--- a/core/route/explain.go
+++ b/core/route/explain.go
@@ -179,7 +179,7 @@
 
 // rejectionReason returns why a member cannot get the request at all, "" if it can.
 func (b *Balancer) rejectionReason(now time.Time, query Query, member core.Member) Reason {
-	if reason := exclusionReason(member, query.Snapshot); reason != "" {
+	if reason := b.exclusionReason(member, query.Snapshot); reason != "" {
 		return reason
 	}
 	if !query.HomeRegions.Allows(member.Host.Region) {
--- a/core/route/group.go
+++ b/core/route/group.go
@@ -10,7 +10,7 @@
 // group returns the cached group of a service, rebuilt if the members or the snapshot changed.
 func (b *Balancer) group(query *Query) *group {
 	if state, ok := (*b.services.Load())[query.Service.Name]; ok {
-		if g := state.group.Load(); g != nil && g.matches(query) {
+		if g := state.group.Load(); g != nil && b.isCurrent(g, query) {
 			return g
 		}
 	}
@@ -18,17 +18,17 @@
 	defer b.mu.Unlock()
 	state := b.state(query)
 	g := state.group.Load()
-	if g == nil || !g.matches(query) {
+	if g == nil || !b.isCurrent(g, query) {
 		g = b.buildGroup(state, query)
 		state.group.Store(g)
 	}
 	return g
 }
 
-// matches reports whether the group was built for the snapshot and members of the query. It
-// compares by identity, since both are immutable.
-func (g *group) matches(query *Query) bool {
-	return g.snapshot == query.Snapshot && sameSlice(g.members, query.Members)
+// isCurrent reports whether a group was built for the snapshot and members of the query, which it
+// compares by identity, since both are immutable, and no further upstream has said that it leaves.
+func (b *Balancer) isCurrent(g *group, query *Query) bool {
+	return g.snapshot == query.Snapshot && sameSlice(g.members, query.Members) && g.leavingCount == b.notices.leavingCount.Load()
 }
 
 func sameSlice(a, b []core.Member) bool {
@@ -64,6 +64,8 @@
 		members:  query.Members,
 		snapshot: query.Snapshot,
 		slots:    query.Service.Slots,
+
+		leavingCount: b.notices.leavingCount.Load(),
 	}
 	kept := make(map[core.HostName]*upstream, len(query.Members))
 	for _, member := range query.Members {
@@ -77,7 +79,7 @@
 		}
 		u.slots.Store(int64(member.Slots))
 		kept[member.Host.Name] = u
-		switch reason := exclusionReason(member, query.Snapshot); {
+		switch reason := b.exclusionReason(member, query.Snapshot); {
 		case reason == ReasonDead:
 		case reason != "":
 			g.excluded = b.addToTier(g.excluded, u)
@@ -111,11 +113,11 @@
 }
 
 // exclusionReason returns why a member gets no new requests, "" if it may get them.
-func exclusionReason(member core.Member, snapshot *core.Snapshot) Reason {
+func (b *Balancer) exclusionReason(member core.Member, snapshot *core.Snapshot) Reason {
 	switch {
 	case member.State == core.MemberDead || member.State == core.MemberLeft:
 		return ReasonDead
-	case member.State == core.MemberLeaving || member.Host.State == core.HostLeaving:
+	case member.State == core.MemberLeaving || member.Host.State == core.HostLeaving || b.notices.of(member.Host.Instance).isLeaving:
 		return ReasonLeaving
 	case snapshot.Out[member.Host.AvailabilityZone]:
 		return ReasonZoneOut
--- a/core/route/notices.go
+++ b/core/route/notices.go
@@ -1,57 +1,96 @@
 package route
 
-import "time"
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"verbenaway/core"
+)
 
 const (
-	// maxNotices bounds the memory for notices. It is far above the number of upstreams in trouble at
-	// once; beyond it, the one that was renewed least recently is forgotten.
-	maxNotices = 1024
+	// maxNotices bounds the memory for notices. It is above the number of upstreams that an entry uses,
+	// even while all of them are replaced; beyond it, the least recent notice is forgotten.
+	maxNotices = 4096
 	// noticeHold is how long a limit holds on without being named, since not every answer of an upstream
 	// may name it.
 	noticeHold = time.Second
 )
 
-// Notices keeps what upstream processes said of themselves in answers that were passed on to callers. It
-// is not safe for concurrent use.
-type Notices struct {
+// notices keeps what upstream processes said of themselves in answers that were passed on to callers. It
+// is safe for concurrent use.
+type notices struct {
+	// leavingCount is the number of processes so far that have said that they leave.
+	leavingCount atomic.Int64
+
+	mu         sync.RWMutex
 	byInstance map[string]notice
 }
 
 // notice is what one process said.
 type notice struct {
-	// ratePerSecond is the number of requests that it takes from all hosts together.
+	// ratePerSecond is the number of requests that it takes from all hosts together; valid if hasRate is set.
 	ratePerSecond float64
-	at            time.Time
+	hasRate       bool
+	// isLeaving is never reset: a process that leaves does not come back.
+	isLeaving bool
+	// at is the time of the latest answer that said so.
+	at time.Time
 }
 
-// RecordRate records an answer of a process that takes a number of requests a second.
-func (n *Notices) RecordRate(now time.Time, instance string, perSecond float64) {
+// RecordNotice records what a process said of itself in an answer that is passed on.
+func (b *Balancer) RecordNotice(now time.Time, instance string, said core.UpstreamNotice) {
+	b.notices.record(now, instance, said)
+}
+
+// NamedRate returns the number of requests a second that a process takes from all hosts together; ok is
+// false if it named no limit.
+func (b *Balancer) NamedRate(instance string) (perSecond float64, ok bool) {
+	known := b.notices.of(instance)
+	return known.ratePerSecond, known.hasRate
+}
+
+func (n *notices) of(instance string) notice {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.byInstance[instance]
+}
+
+func (n *notices) record(now time.Time, instance string, said core.UpstreamNotice) {
+	known := n.of(instance)
+	if said == (core.UpstreamNotice{}) && !known.hasRate || instance == "" {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known = n.byInstance[instance]
+	switch {
+	case said.HasRateLimit:
+		known.ratePerSecond, known.hasRate, known.at = said.RateLimit, true, now
+	case !said.IsRateLimitInvalid && now.Sub(known.at) >= noticeHold:
+		known.hasRate = false
+	}
+	if said.IsLeaving {
+		known.at = now
+		if !known.isLeaving {
+			known.isLeaving = true
+			n.leavingCount.Add(1)
+		}
+	}
+	if !known.hasRate && !known.isLeaving {
+		delete(n.byInstance, instance)
+		return
+	}
 	if n.byInstance == nil {
 		n.byInstance = map[string]notice{}
 	}
-	n.byInstance[instance] = notice{
-		ratePerSecond: perSecond,
-		at:            now,
-	}
+	n.byInstance[instance] = known
 	if len(n.byInstance) > maxNotices {
 		n.forgetOldest()
 	}
 }
 
-// RecordNoRate records an answer of a process that names no limit.
-func (n *Notices) RecordNoRate(now time.Time, instance string) {
-	if known, ok := n.byInstance[instance]; ok && now.Sub(known.at) >= noticeHold {
-		delete(n.byInstance, instance)
-	}
-}
-
-// Rate returns the number of requests a second that a process takes; ok is false if it named no limit.
-func (n *Notices) Rate(instance string) (perSecond float64, ok bool) {
-	known, ok := n.byInstance[instance]
-	return known.ratePerSecond, ok
-}
-
-func (n *Notices) forgetOldest() {
+func (n *notices) forgetOldest() {
 	var oldest string
 	var oldestAt time.Time
 	for instance, known := range n.byInstance {
--- a/io/proxy/entry.go
+++ b/io/proxy/entry.go
@@ -83,7 +83,6 @@
 	refusals  *refusalLog
 	returns   returns
 	full      full
-	notices   notices
 	sender    []string
 	view      atomic.Pointer[entryView]
 	// mu is held while a new view is built.
--- a/io/proxy/gate_notice.go
+++ b/io/proxy/gate_notice.go
@@ -14,6 +14,9 @@
 	g := c.gate
 	notice := g.config.Dialect.UpstreamNotice(answer)
 	c.hasNotice = notice != core.UpstreamNotice{}
+	if notice.IsLeaving {
+		c.recordLeaving()
+	}
 	if notice.IsRateLimitInvalid {
 		return
 	}
@@ -33,6 +36,18 @@
 	}
 }
 
+// recordLeaving refuses the requests that wait for an upstream which says that it leaves.
+func (c *gateCall) recordLeaving() {
+	g := c.gate
+	g.mu.Lock()
+	isNew, wakes := g.admission.RecordLeaving(c.instance)
+	g.deliverWakes(wakes)
+	g.mu.Unlock()
+	if isNew {
+		g.record(core.EventUpstreamLeaving, c.instance, "")
+	}
+}
+
 // adoptRate takes the limit that the sender of a request knows. The caller holds mu.
 func (c *gateCall) adoptRate(now time.Time) {
 	g := c.gate
