proxy: logs show which requests were lost when an upstream ended

Cause: a lost answer looked the same whether one connection broke or the whole upstream ended, and no line told two requests with the same path and body from two others. Change: after a lost answer the gatekeeper looks whether all connections to the upstream have ended and it refuses a new one; event upstreamCrashed, and a header by which the entry learns it. Nothing is decided by it. Result: go test ./io/proxy ./platform pass; the dial is made only if no connection is open any more.

--- a/core/dialect.go
+++ b/core/dialect.go
@@ -128,6 +128,8 @@
 	// Host is the host of the upstream concerned, empty if there is none.
 	Host     HostName
 	Instance string
+	// Fingerprint is that of a request that was lost with its upstream, nil otherwise.
+	Fingerprint *Fingerprint
 	// Version and Revision are those of the configuration that was in force.
 	Version  Version
 	Revision uint64
--- a/core/event.go
+++ b/core/event.go
@@ -57,6 +57,7 @@
 	EventQuotaExceeded   EventKind = "quotaExceeded"
 	EventUpstreamLimit   EventKind = "upstreamLimit"
 	EventUpstreamLeaving EventKind = "upstreamLeaving"
+	EventUpstreamCrashed EventKind = "upstreamCrashed"
 )
 
 // EventKindInfo describes one event kind for help and reference pages.
@@ -95,6 +96,7 @@
 	{Kind: EventQuotaExceeded, Meaning: "Requests of a tenant were refused because of its quota; at most one event per tenant and ten seconds."},
 	{Kind: EventUpstreamLimit, Meaning: "The upstream named another limit on the requests that it takes, or none any more; at most one event a second."},
 	{Kind: EventUpstreamLeaving, Meaning: "The upstream said in an answer that it leaves, and gets no new requests."},
+	{Kind: EventUpstreamCrashed, Meaning: "The upstream ended while it ran requests."},
 }
 
 // Event is one entry of the timeline.
--- a/io/logs/fields.go
+++ b/io/logs/fields.go
@@ -29,6 +29,9 @@
 	putText(fields, "sender", decision.Sender)
 	putText(fields, "upstream", decision.Host)
 	putText(fields, "instance", decision.Instance)
+	if decision.Fingerprint != nil {
+		fields["fingerprint"] = decision.Fingerprint.String()
+	}
 	putNumber(fields, "version", decision.Version)
 	putNumber(fields, "revision", decision.Revision)
 	putNumber(fields, "attempt", decision.Attempt)
--- a/io/proxy/entry_answer.go
+++ b/io/proxy/entry_answer.go
@@ -204,6 +204,7 @@
 	}
 	r := failedAttempt(kind, notRun, detail())
 	r.failure.ReachedUpstream = r.failure.ReachedUpstream || firstValue(header, keyArrived) != ""
+	r.crashed = firstValue(header, keyCrashed)
 	if ms, err := strconv.ParseInt(firstValue(header, keyRetryAfter), 10, 32); err == nil && ms > 0 {
 		r.retryAfter = time.Duration(ms) * time.Millisecond
 	}
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"verbenaway/core"
+	"verbenaway/core/poison"
 	"verbenaway/core/retry"
 	"verbenaway/core/room"
 	"verbenaway/core/route"
@@ -65,6 +66,8 @@
 	buffer *[]byte
 	pool   *bufferPool
 	stream *streamBody
+	// streamHash is that of the body as far as it was read from stream.
+	streamHash *poison.Hash
 	// countedTenant is the tenant towards whose quota the request was counted, "" if it was not.
 	countedTenant core.TenantName
 	// quotaDecision is the one for countedTenant.
@@ -97,6 +100,8 @@
 	retryAfter time.Duration
 	failure    retry.Failure
 	detail     string
+	// crashed is the process that ended while it ran the request, "" if none did.
+	crashed string
 }
 
 // failedAttempt returns the result of an attempt without an answer.
--- a/io/proxy/entry_check.go
+++ b/io/proxy/entry_check.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"verbenaway/core"
+	"verbenaway/core/poison"
 	"verbenaway/core/room"
 	"verbenaway/core/route"
 )
@@ -308,8 +309,9 @@
 		return "", ""
 	}
 	if length < 0 || length > maxBufferedBytes {
+		c.streamHash = poison.NewHash(c.head())
 		c.stream = &streamBody{
-			body:   c.request.Body,
+			body:   io.TeeReader(c.request.Body, c.streamHash),
 			onRead: c.recordSentBytes,
 		}
 		c.removeTrailerIdentity()
--- a/io/proxy/entry_decide.go
+++ b/io/proxy/entry_decide.go
@@ -10,6 +10,11 @@
 	decision.Error = r.failure.Kind
 	decision.RetryAfter = r.retryAfter
 	decision.Detail = r.detail
+	if r.crashed != "" {
+		if fingerprint, ok := c.fingerprint(); ok {
+			decision.Fingerprint = &fingerprint
+		}
+	}
 	c.entry.config.Decisions.RecordDecision(decision)
 }
 
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
 	"verbenaway/core"
@@ -82,6 +83,10 @@
 	connectBackoffUntil time.Time
 
 	rateLimitEvents *rate.Limiter
+	// crashChecks combines simultaneous checks whether the upstream has ended, and crashed is the latest
+	// process that has.
+	crashChecks singleflight.Group
+	crashed     atomic.Pointer[string]
 
 	keys      gateKeys
 	transport gateTransport
--- a/io/proxy/gate_answer.go
+++ b/io/proxy/gate_answer.go
@@ -58,6 +58,7 @@
 		return core.DeadlineInRun, "the deadline passed during the answer"
 	}
 	c.report(admit.SignalReset, "")
+	c.checkForCrash()
 	return c.lostAnswerKind(true), "the answer broke off: " + readErr.Error()
 }
 
@@ -105,6 +106,7 @@
 			return nil, core.DeadlineInRun, "the deadline passed during the answer"
 		}
 		c.report(admit.SignalReset, "")
+		c.checkForCrash()
 		return nil, c.lostAnswerKind(true), "the answer broke off: " + err.Error()
 	}
 	*buffer = body
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -48,6 +48,8 @@
 	// instance is the process that the request is sent to; empty if the platform has no instance
 	// names.
 	instance string
+	// hasCrashed means that the upstream ended while it ran the request.
+	hasCrashed bool
 	// hasNotice means that the upstream said something of itself in its answer.
 	hasNotice bool
 	// reachedUpstream means that the upstream may have received the request.
@@ -411,6 +413,9 @@
 	if c.reachedUpstream {
 		c.writer.Header()[keyArrived] = arrivedValue
 	}
+	if c.hasCrashed {
+		c.writer.Header()[keyCrashed] = []string{c.instance}
+	}
 	if c.retryAfter > 0 {
 		c.writer.Header()[keyRetryAfter] = []string{strconv.FormatInt(c.retryAfter.Milliseconds()+1, 10)}
 	}
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -246,6 +246,9 @@
 		return c.lostAnswerKind(isSent), "the body of the request broke off"
 	}
 	c.report(admit.SignalReset, "")
+	if isSent {
+		c.checkForCrash()
+	}
 	return c.lostAnswerKind(isSent), "the upstream did not answer: " + err.Error()
 }
 
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -45,6 +45,8 @@
 	// HeaderInstance names the process that has sent it.
 	HeaderRateLimit = "Verbenaway-RateLimit"
 	HeaderInstance  = "Verbenaway-Instance"
+	// HeaderCrashed in a refusal names the process that ended while it ran the request.
+	HeaderCrashed = "Verbenaway-Crashed"
 	// HeaderLoad in an answer is "inFlight/limit" of the upstream that sent it. Where upstreams
 	// register themselves, "/queueUs/serviceUs/failedPermille" follows: the expected queue time
 	// and service time of a new request of the route, in microseconds, and the failure ratio of
@@ -77,6 +79,7 @@
 	keyBootID      = http.CanonicalHeaderKey(HeaderBootID)
 	keyCloses      = http.CanonicalHeaderKey(HeaderCloses)
 	keyClaimed     = http.CanonicalHeaderKey(HeaderClaimed)
+	keyCrashed     = http.CanonicalHeaderKey(HeaderCrashed)
 	keyDepth       = http.CanonicalHeaderKey(HeaderDepth)
 	keyError       = http.CanonicalHeaderKey(HeaderError)
 	keyHomeRegions = http.CanonicalHeaderKey(HeaderHomeRegions)
@@ -142,5 +145,6 @@
 	HeaderCloses,
 	HeaderRateLimit,
 	HeaderInstance,
+	HeaderCrashed,
 	HeaderHostLoad,
 }
