admit, proxy: suspects run one at a time, and are stopped while they wait

Callers: requests that ran beside one that crashes upstreams moved on with it, and were lost again. Cause: the requests that were lost with an upstream all went to the next one at the same moment, so that nothing told which of them was the cause; and one that waited in a queue there was still passed on after it had been found. Change: an entry marks attempts of suspected requests with their fingerprint. A gatekeeper runs one of them at a time, beside others, and asks for the verdict again before it passes one on. A cold start whose rate is not used up does not schedule grants that cannot happen.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -56,6 +56,9 @@
 	// BodyBytes is the size of a body that the sender holds back until the request gets its slot, 0
 	// if there is none.
 	BodyBytes int64
+	// IsSuspect says that upstreams have ended while they ran such a request. One of them runs at a time, so
+	// that the next crash tells which of them is the cause.
+	IsSuspect bool
 }
 
 // Ticket is the state of one request under admission control. The caller allocates it and
@@ -122,6 +125,8 @@
 	// inFlight counts the requests that hold a slot, and bulkInFlight those of class bulk.
 	inFlight     int
 	bulkInFlight int
+	// suspectsInFlight is 0 or 1.
+	suspectsInFlight int
 	// queue holds the waiting requests in the order of their arrival.
 	queue []*Ticket
 	// passedOver counts the latest grants for which a less urgent request had to wait on.
@@ -331,6 +336,9 @@
 	if ticket.class == core.ClassBulk {
 		c.bulkInFlight--
 	}
+	if ticket.request.IsSuspect {
+		c.suspectsInFlight--
+	}
 	release(ticket.routeLimits)
 	release(ticket.tenantLimits)
 	if success && ticket.epoch == c.ramp.epoch {
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -27,16 +27,25 @@
 // requests has to warm up too.
 func (c *Controller) canRun(now time.Time, ticket *Ticket) bool {
 	limit := c.limit()
-	if c.inFlight >= limit || !c.allowsStart(now) || !c.link.HasRoom(now, ticket.request.BodyBytes) {
+	if c.inFlight >= limit || !c.allowsStart(now) || c.isHeldBack(now, ticket) {
 		return false
 	}
 	return ticket.class != core.ClassBulk || c.bulkInFlight < max(1, limit-c.service.ReservedSlots)
 }
 
+// isHeldBack tells whether a request has to wait although a slot is free: for room on the link, or for
+// the end of another suspect.
+func (c *Controller) isHeldBack(now time.Time, ticket *Ticket) bool {
+	return ticket.request.IsSuspect && c.suspectsInFlight > 0 || !c.link.HasRoom(now, ticket.request.BodyBytes)
+}
+
 // isAheadRunnable tells whether a waiting request that is ahead of a new one can run as soon as the new
 // one can.
 func (c *Controller) isAheadRunnable(now time.Time, ticket *Ticket) bool {
 	for _, waiting := range c.queue {
+		if waiting.request.IsSuspect && c.suspectsInFlight > 0 && !ticket.request.IsSuspect {
+			continue
+		}
 		if (waiting.request.BodyBytes == 0 || ticket.request.BodyBytes > 0) && room.Compare(now, &waiting.claim, &ticket.claim) <= 0 {
 			return true
 		}
@@ -231,6 +240,9 @@
 	if ticket.class == core.ClassBulk {
 		c.bulkInFlight++
 	}
+	if ticket.request.IsSuspect {
+		c.suspectsInFlight++
+	}
 }
 
 func (c *Controller) enqueue(now time.Time, ticket *Ticket) Decision {
@@ -320,7 +332,7 @@
 func (c *Controller) next(now time.Time) *Ticket {
 	var next, last *Ticket
 	for _, ticket := range c.queue {
-		if !c.link.HasRoom(now, ticket.request.BodyBytes) {
+		if c.isHeldBack(now, ticket) {
 			continue
 		}
 		if next == nil || room.Compare(now, &ticket.claim, &next.claim) < 0 {
--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -136,7 +136,7 @@
 		next = now.Add(max(wait, minGrantWait))
 	}
 	if c.isCold(now) {
-		if free := c.starts.nextFree(c.coldPerSecond()); free.After(next) {
+		if free := c.starts.nextFree(c.coldPerSecond()); free.After(now) && free.After(next) {
 			next = free
 		}
 	}
--- a/core/poison.go
+++ b/core/poison.go
@@ -14,6 +14,15 @@
 	return hex.EncodeToString(f[:])
 }
 
+// ParseFingerprint parses the result of String; ok is false for any other text.
+func ParseFingerprint(text string) (fingerprint Fingerprint, ok bool) {
+	if hex.DecodedLen(len(text)) != len(fingerprint) {
+		return Fingerprint{}, false
+	}
+	_, err := hex.Decode(fingerprint[:], []byte(text))
+	return fingerprint, err == nil
+}
+
 // RequestShape is a short hash of all that a Fingerprint covers but the body.
 type RequestShape uint64
 
--- a/io/proxy/entry_call.go
+++ b/io/proxy/entry_call.go
@@ -179,9 +179,9 @@
 		r.final = true
 		return r
 	}
-	verdict := c.verdict()
+	verdict, fingerprint := c.verdict()
 	if verdict == core.VerdictQuarantined {
-		r := failedAttempt(core.Quarantined, true, "upstreams have ended while they ran this request")
+		r := failedAttempt(core.Quarantined, true, isQuarantined)
 		r.final = true
 		return r
 	}
@@ -196,7 +196,7 @@
 		return r
 	}
 	c.tried = append(c.tried, c.choice.Host.Name)
-	c.setAttemptHeaders()
+	c.setAttemptHeaders(verdict, fingerprint)
 	c.logDecision(core.DecisionSent, result{
 		detail: c.choice.AwayReason(),
 	})
@@ -276,12 +276,16 @@
 }
 
 // setAttemptHeaders sets the headers for the gatekeeper that may differ between attempts.
-func (c *call) setAttemptHeaders() {
+func (c *call) setAttemptHeaders(verdict core.Verdict, fingerprint core.Fingerprint) {
 	if c.entry.config.Dialect == nil {
 		return
 	}
 	c.header[keyService] = []string{string(c.service.Name)}
 	c.setNoticeHeaders()
+	delete(c.header, keySuspect)
+	if verdict == core.VerdictSuspect {
+		c.header[keySuspect] = []string{fingerprint.String()}
+	}
 	delete(c.header, keyNoWait)
 	if c.choice.HasFreeSlot && c.attempts < firstQueuedAttempt {
 		c.header[keyNoWait] = noWaitValue
--- a/io/proxy/entry_poison.go
+++ b/io/proxy/entry_poison.go
@@ -69,16 +69,19 @@
 	return 0, r.err
 }
 
-// verdict returns what is known of the request.
-func (c *call) verdict() core.Verdict {
+// isQuarantined is the detail of the refusal of a request that crashes upstreams.
+const isQuarantined = "upstreams have ended while they ran this request"
+
+// verdict returns what is known of the request, and its fingerprint if anything is.
+func (c *call) verdict() (core.Verdict, core.Fingerprint) {
 	if !c.isIdentified() {
-		return core.VerdictNone
+		return core.VerdictNone, core.Fingerprint{}
 	}
 	fingerprint, ok := c.fingerprint()
 	if !ok {
-		return core.VerdictNone
+		return core.VerdictNone, core.Fingerprint{}
 	}
-	return c.entry.config.Quarantine.Verdict(fingerprint)
+	return c.entry.config.Quarantine.Verdict(fingerprint), fingerprint
 }
 
 // recordOutcome records an attempt under which the upstream ended, or whose answer shows that the request
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -54,6 +54,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Decisions records the decisions on requests. Optional.
 	Decisions core.DecisionLog
+	// Quarantine knows the requests that crash upstreams; a suspect may become one of them while it
+	// waits for a slot. Optional.
+	Quarantine core.Quarantine
 	// LinkRate is the speed of the host's link in bytes per second, 0 if unknown.
 	LinkRate int64
 }
--- a/io/proxy/gate_call.go
+++ b/io/proxy/gate_call.go
@@ -48,6 +48,8 @@
 	// instance is the process that the request is sent to; empty if the platform has no instance
 	// names.
 	instance string
+	// suspect is the fingerprint of the request if admitRequest.IsSuspect is set.
+	suspect core.Fingerprint
 	// hasCrashed means that the upstream ended while it ran the request.
 	hasCrashed bool
 	// hasNotice means that the upstream said something of itself in its answer.
@@ -118,6 +120,7 @@
 	}
 	call.admitRequest.Deadline = call.started.Add(timeout)
 	call.admitRequest.Service = core.ServiceName(firstValue(r.Header, keyService))
+	call.suspect, call.admitRequest.IsSuspect = core.ParseFingerprint(firstValue(r.Header, keySuspect))
 	call.admitRequest.NoWait = firstValue(r.Header, keyNoWait) != ""
 	if firstValue(r.Header, keyTarget) != "" {
 		target, targetErr := headerNumber(r.Header, keyTarget, 0)
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -64,6 +64,9 @@
 	if kind, detail := c.resolveInstance(); kind != "" {
 		return kind, detail
 	}
+	if quarantine := c.gate.config.Quarantine; quarantine != nil && c.admitRequest.IsSuspect && quarantine.Verdict(c.suspect) == core.VerdictQuarantined {
+		return core.Quarantined, isQuarantined
+	}
 	if c.recorder == nil && limit.HasPeerClosed(c.request.Context()) {
 		return core.CanceledBeforeRun, "the sender has closed its connection"
 	}
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -45,6 +45,9 @@
 	// HeaderInstance names the process that has sent it.
 	HeaderRateLimit = "Verbenaway-RateLimit"
 	HeaderInstance  = "Verbenaway-Instance"
+	// HeaderSuspect is the fingerprint of a request, in hexadecimal digits. It says that upstreams have ended
+	// while they ran such a request.
+	HeaderSuspect = "Verbenaway-Suspect"
 	// HeaderCrashed in a refusal names the process that ended while it ran the request.
 	HeaderCrashed = "Verbenaway-Crashed"
 	// HeaderLoad in an answer is "inFlight/limit" of the upstream that sent it. Where upstreams
@@ -80,6 +83,7 @@
 	keyCloses      = http.CanonicalHeaderKey(HeaderCloses)
 	keyClaimed     = http.CanonicalHeaderKey(HeaderClaimed)
 	keyCrashed     = http.CanonicalHeaderKey(HeaderCrashed)
+	keySuspect     = http.CanonicalHeaderKey(HeaderSuspect)
 	keyDepth       = http.CanonicalHeaderKey(HeaderDepth)
 	keyError       = http.CanonicalHeaderKey(HeaderError)
 	keyHomeRegions = http.CanonicalHeaderKey(HeaderHomeRegions)
@@ -146,5 +150,6 @@
 	HeaderRateLimit,
 	HeaderInstance,
 	HeaderCrashed,
+	HeaderSuspect,
 	HeaderHostLoad,
 }
