proxy: the end of an upstream is noticed where something else accepts its connections

Cause: an upstream counted as ended only if its address refused a connection. TestCrashIsNoticed failed before in the case with the forwarder.

--- a/io/proxy/gate_crash.go
+++ b/io/proxy/gate_crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"syscall"
 	"time"
 
@@ -18,6 +19,9 @@
 	// crashDialTimeout bounds the connection that shows whether the process has ended. One that has refuses
 	// it at once.
 	crashDialTimeout = 100 * time.Millisecond
+	// crashReadTimeout is how long a new connection has to stay open: where something else accepts the
+	// connections for a process, those for one that has ended are closed at once.
+	crashReadTimeout = 20 * time.Millisecond
 )
 
 // checkForCrash finds out whether the upstream ended while it ran the call. It is called when an answer
@@ -52,9 +56,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), crashDialTimeout)
 	defer cancel()
 	conn, err := g.config.Dial(ctx, "tcp", g.config.UpstreamAddress)
-	if err == nil {
-		_ = conn.Close()
-		return false
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	defer func() {
+		_ = conn.Close()
+	}()
+	_ = conn.SetReadDeadline(time.Now().Add(crashReadTimeout))
+	_, err = conn.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
