proxy: a gatekeeper without contact with the store asks whether its upstream is cold

Callers: an upstream that became cold while the store was down got full load and crashed. Cause: coldness was known from the registration only, which is out of date then; nothing read what the upstream says in its health answers. Metric gateHealthChecks.

--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -83,6 +83,24 @@
 	c.assumedColdUntil = until
 }
 
+// RecordCold records that an instance said that it stays cold until a time. Its registration may say so
+// only later.
+func (c *Controller) RecordCold(instance string, until time.Time) {
+	if c.upstream != nil && c.upstream.Instance == instance && until.After(c.assumedColdUntil) {
+		c.assumedColdUntil = until
+	}
+}
+
+// MayCheck tells whether a health check may reach the upstream now, and counts it towards the limit that
+// the upstream names.
+func (c *Controller) MayCheck(now time.Time) bool {
+	if !c.rateLimit.allows(now) {
+		return false
+	}
+	c.rateLimit.count(now)
+	return true
+}
+
 // serviceName returns the service that the upstream provides.
 func (c *Controller) serviceName() core.ServiceName {
 	if !c.config.IsRegistered {
--- a/core/dialect.go
+++ b/core/dialect.go
@@ -33,6 +33,9 @@
 	UpstreamLoad(answer http.Header) (load UpstreamLoad, ok bool)
 	// UpstreamNotice returns what an upstream says of itself with an answer.
 	UpstreamNotice(answer http.Header) UpstreamNotice
+	// ColdRemaining returns how long an upstream stays cold, as it says in the answer to a health check; ok
+	// is false if the answer is not that of the instance.
+	ColdRemaining(instance string, answer http.Header) (remaining time.Duration, ok bool)
 	// SetRefusalHeaders sets the headers of a refusal for the caller and returns its status.
 	SetRefusalHeaders(header http.Header, refusal Refusal) (status int)
 }
--- a/io/proxy/dialect_test.go
+++ b/io/proxy/dialect_test.go
@@ -79,6 +79,10 @@
 	}
 }
 
+func (fakeDialect) ColdRemaining(string, http.Header) (time.Duration, bool) {
+	return 0, false
+}
+
 func (fakeDialect) SetRefusalHeaders(header http.Header, refusal core.Refusal) int {
 	header.Set("X-Kind", string(refusal.Kind))
 	if refusal.Kind.Info().NotRun {
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -54,6 +54,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Decisions records the decisions on requests. Optional.
 	Decisions core.DecisionLog
+	// ContactAge returns the time since the last contact with the store. While that is long, the
+	// gatekeeper asks its upstream whether it is cold, since the registration may be out of date. Optional.
+	ContactAge func() time.Duration
 	// Quarantine knows the requests that crash upstreams; a suspect may become one of them while it
 	// waits for a slot. Optional.
 	Quarantine core.Quarantine
--- a/io/proxy/gate_events.go
+++ b/io/proxy/gate_events.go
@@ -27,6 +27,8 @@
 	Delegated expvar.Int
 	// Replayed counts idempotent requests that net/http sent again on a new connection.
 	Replayed expvar.Int
+	// HealthChecks counts the health checks of the upstream.
+	HealthChecks expvar.Int
 	// Probes counts the probes of entries.
 	Probes expvar.Int
 	// Refused counts refusals by error kind.
