admit: a gatekeeper that starts takes the last second of a cold upstream as used

Callers: cold upstreams crashed after the daemons beside them had started again. Cause: the window of a cold start is lost with the process, and an empty window counted as unused, so that a cold upstream got two shares in one second. Change: until a second after the start of its process, a gatekeeper starts nothing on a cold upstream.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -29,6 +29,9 @@
 	IsRegistered bool
 	// LinkRate is the speed of the host's link in bytes per second, 0 if unknown.
 	LinkRate int64
+	// StartedAt is the time at which this process started. An earlier one may have let requests to a cold
+	// upstream through until then. Zero if there was none.
+	StartedAt time.Time
 }
 
 // Request holds the properties of a request that admission depends on.
@@ -160,13 +163,17 @@
 	if config.MaxWait <= 0 {
 		config.MaxWait = DefaultMaxWait
 	}
-	return &Controller{
+	c := &Controller{
 		config: config,
 		limits: newLimitSet(),
 		link: room.Link{
 			BytesPerSecond: float64(config.LinkRate),
 		},
 	}
+	if !config.StartedAt.IsZero() {
+		c.starts.unknownUntil = config.StartedAt.Add(coldRateWindow)
+	}
+	return c
 }
 
 // Configure applies a snapshot unless it is older than the current one: concurrent requests may
--- a/core/admit/load_test.go
+++ b/core/admit/load_test.go
@@ -54,17 +54,29 @@
 }
 
 func newLoadRig(coldFor time.Duration) *loadRig {
+	return newRig(admit.Config{
+		IsRegistered: true,
+	}, loadStart, coldFor)
+}
+
+// newLoadRigAt returns the rig of a process that starts at a time, in place of an earlier one.
+func newLoadRigAt(start time.Time, coldFor time.Duration) *loadRig {
+	return newRig(admit.Config{
+		IsRegistered: true,
+		StartedAt:    start,
+	}, start, coldFor)
+}
+
+func newRig(config admit.Config, start time.Time, coldFor time.Duration) *loadRig {
 	rig := &loadRig{
-		controller: admit.New(admit.Config{
-			IsRegistered: true,
-		}),
+		controller: admit.New(config),
 		upstream: admit.Upstream{
 			Instance:  "i1",
 			Service:   "s",
 			Slots:     4,
-			ColdUntil: loadStart.Add(coldFor),
+			ColdUntil: start.Add(coldFor),
 		},
-		now:     loadStart,
+		now:     start,
 		running: map[*admit.Ticket]time.Time{},
 		started: map[*admit.Ticket]time.Time{},
 		arrived: map[*admit.Ticket]time.Time{},
@@ -382,3 +394,46 @@
 	run(time.Millisecond, admit.SignalNone)
 	c.Assert(rig.controller.Estimate(rig.now, "lookup").FailureRatio, qt.Equals, before)
 }
+
+// TestRestartOnColdUpstream guards against a daemon that starts again and lets a second share of the same
+// second through to a cold upstream, and one whose start holds back requests to a warm one.
+func TestRestartOnColdUpstream(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		coldFor time.Duration
+		// least is how many requests start in the first second after the restart.
+		least int
+		most  int
+	}{
+		{name: "cold", coldFor: time.Hour, most: 18*3/2 + 5},
+		{name: "warm", least: 90, most: 200},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			before := newLoadRig(tc.coldFor)
+			for range 900 {
+				before.offer("check")
+				before.advance()
+			}
+			// The process ends, and another one starts at once.
+			after := newLoadRigAt(before.now, tc.coldFor)
+			for range 2000 {
+				after.offer("check")
+				after.advance()
+			}
+			for ticket, at := range before.started {
+				after.started[ticket] = at
+			}
+			if tc.coldFor > 0 {
+				c.Assert(after.maxStartsPerSecond() <= tc.most, qt.IsTrue, qt.Commentf("%d started in one second", after.maxStartsPerSecond()))
+			}
+			first := 0
+			for _, at := range after.started {
+				if since := at.Sub(before.now); since > 0 && since < time.Second {
+					first++
+				}
+			}
+			c.Assert(first >= tc.least, qt.IsTrue, qt.Commentf("%d started in the first second", first))
+		})
+	}
+}
--- a/core/admit/startwindow.go
+++ b/core/admit/startwindow.go
@@ -15,6 +15,9 @@
 	// times is a ring buffer; oldest is the index of the oldest entry.
 	times  []time.Time
 	oldest int
+	// unknownUntil is the end of the time in which an earlier process may have used the whole window, zero if
+	// there was none.
+	unknownUntil time.Time
 }
 
 // record adds the start of a request.
@@ -48,6 +51,9 @@
 
 // remaining returns how many requests may start now.
 func (w *startWindow) remaining(now time.Time, perWindow int) int {
+	if now.Before(w.unknownUntil) {
+		return 0
+	}
 	recent := 0
 	for _, at := range w.times {
 		if !at.IsZero() && now.Sub(at) < coldRateWindow {
@@ -60,5 +66,9 @@
 // nextFree returns the time at which the oldest recorded start leaves the window.
 func (w *startWindow) nextFree(perWindow int) time.Time {
 	w.resize(min(perWindow, maxWindowStarts))
-	return w.times[w.oldest].Add(coldRateWindow)
+	free := w.times[w.oldest].Add(coldRateWindow)
+	if free.Before(w.unknownUntil) {
+		return w.unknownUntil
+	}
+	return free
 }
--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -54,6 +54,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Decisions records the decisions on requests. Optional.
 	Decisions core.DecisionLog
+	// StartedAt is the time at which this process started, if an earlier one may have run just before.
+	// Optional.
+	StartedAt time.Time
 	// ContactAge returns the time since the last contact with the store. While that is long, the
 	// gatekeeper asks its upstream whether it is cold, since the registration may be out of date. Optional.
 	ContactAge func() time.Duration
@@ -133,6 +136,7 @@
 			MaxWait:      config.MaxQueueWait,
 			WatchLatency: config.WatchLatency,
 			IsRegistered: config.Upstream != nil,
+			StartedAt:    config.StartedAt,
 
 			LinkRate: config.LinkRate,
 		}),
