opctl, platform: operators see the requests that crash upstreams, and clear them

Cause: a quarantined request was visible as an event with a fingerprint only, and stayed so for an hour even if the upstream had been corrected meanwhile. Event requestCleared.

--- a/core/event.go
+++ b/core/event.go
@@ -59,6 +59,7 @@
 	EventUpstreamLeaving    EventKind = "upstreamLeaving"
 	EventUpstreamCrashed    EventKind = "upstreamCrashed"
 	EventRequestQuarantined EventKind = "requestQuarantined"
+	EventRequestCleared     EventKind = "requestCleared"
 )
 
 // EventKindInfo describes one event kind for help and reference pages.
@@ -99,6 +100,7 @@
 	{Kind: EventUpstreamLeaving, Meaning: "The upstream said in an answer that it leaves, and gets no new requests."},
 	{Kind: EventUpstreamCrashed, Meaning: "The upstream ended while it ran requests."},
 	{Kind: EventRequestQuarantined, Meaning: "A request has crashed several upstreams and is passed on to no further one."},
+	{Kind: EventRequestCleared, Meaning: "A request that was lost with an upstream was answered by another one, or cleared by an operator."},
 }
 
 // Event is one entry of the timeline.
--- a/io/opctl/table.go
+++ b/io/opctl/table.go
@@ -47,6 +47,7 @@
 		explainCommand,
 		timelineCommand,
 		traceCommand,
+		crashesCommand,
 	}
 }
 
--- a/io/opctl/trace.go
+++ b/io/opctl/trace.go
@@ -52,7 +52,9 @@
 	var lines []logLine
 	malformed := 0
 	for _, path := range args[1:] {
-		found, skipped, err := traceFile(path, args[0])
+		found, skipped, err := readLog(path, func(line *logLine) bool {
+			return line.request == args[0] || strings.HasPrefix(line.request, args[0]+callSeparator)
+		})
 		if err != nil {
 			return err
 		}
@@ -76,9 +78,8 @@
 	return nil
 }
 
-// traceFile returns the lines of a file about the request and the calls made for it, and the
-// number of malformed lines.
-func traceFile(path, id string) (found []logLine, skipped int, err error) {
+// readLog returns the lines of a file that are wanted, and the number of malformed lines.
+func readLog(path string, isWanted func(line *logLine) bool) (found []logLine, skipped int, err error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, 0, core.Errorf(core.Usage, "%v", err)
@@ -96,7 +97,7 @@
 			skipped++
 			continue
 		}
-		if line.request == id || strings.HasPrefix(line.request, id+callSeparator) {
+		if isWanted(&line) {
 			found = append(found, line)
 		}
 	}
@@ -135,6 +136,16 @@
 	return line, decoder.Err() == nil && line.timestamp != ""
 }
 
+// value returns the value of one of the remaining pairs, "" if there is none.
+func (l *logLine) value(key string) string {
+	for _, pair := range l.pairs {
+		if value, ok := strings.CutPrefix(pair, key+"="); ok {
+			return value
+		}
+	}
+	return ""
+}
+
 // writeTrace prints the lines and returns the distinct error kinds in the order in which they
 // occur.
 func writeTrace(out io.Writer, lines []logLine) []core.ErrorKind {
--- a/io/poison/keeper.go
+++ b/io/poison/keeper.go
@@ -1,7 +1,9 @@
 package poison
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,11 +150,57 @@
 
 // RecordAnswer implements core.Quarantine.
 func (k *Keeper) RecordAnswer(fingerprint core.Fingerprint) {
+	k.Clear(fingerprint)
+}
+
+// Clear lets a request be passed on again, on all daemons. It returns false if nothing spoke against it.
+func (k *Keeper) Clear(fingerprint core.Fingerprint) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.table.Clear(fingerprint) {
+		return false
+	}
+	k.config.Journal.Record(core.Event{
+		Kind:    core.EventRequestCleared,
+		Subject: fingerprint.String(),
+	})
+	k.changed()
+	return true
+}
+
+// Request is what is known of one request.
+type Request struct {
+	Fingerprint core.Fingerprint
+	Verdict     core.Verdict
+	// Losses are the processes that ended while they ran it, the latest first.
+	Losses []core.LostRequest
+}
+
+// Requests returns all known requests, the quarantined ones first, then the suspected ones.
+func (k *Keeper) Requests() []Request {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.table.Clear(fingerprint) {
-		k.changed()
+	byFingerprint := map[core.Fingerprint]*Request{}
+	var all []Request
+	for _, lost := range k.table.Since(k.config.Clock.Now(), 0) {
+		known := byFingerprint[lost.Fingerprint]
+		if known == nil {
+			known = &Request{
+				Fingerprint: lost.Fingerprint,
+				Verdict:     k.table.Verdict(lost.Fingerprint),
+			}
+			byFingerprint[lost.Fingerprint] = known
+		}
+		known.Losses = append(known.Losses, lost)
+	}
+	for _, known := range byFingerprint {
+		slices.SortFunc(known.Losses, func(a, b core.LostRequest) int { return cmp.Compare(a.Age, b.Age) })
+		all = append(all, *known)
 	}
+	slices.SortFunc(all, func(a, b Request) int {
+		return cmp.Or(-cmp.Compare(a.Verdict, b.Verdict), cmp.Compare(a.Losses[0].Age, b.Losses[0].Age), cmp.Compare(a.Fingerprint.String(), b.Fingerprint.String()))
+	})
+	return all
 }
 
 // Share implements core.ShareServer.
