proxy, stand: upstreams without a platform can name a limit too

Cause: Server-Limit is a header of the platform; upstreams of verbenad had no way to say how many requests they take. Change: Verbenaway-RateLimit in an answer of an upstream; the gatekeeper reads it where there is no Dialect, by the same rules. The stand-in names one with the fault rateLimit.

--- a/core/admit/ratelimit.go
+++ b/core/admit/ratelimit.go
@@ -24,7 +24,7 @@
 
 // RateReport is what an answer of the upstream says of the requests that it takes.
 type RateReport struct {
-	// Instance is the process that answered.
+	// Instance is the process that answered, "" if upstreams do not register themselves.
 	Instance string
 	// PerSecond is not negative; it is valid if HasLimit is set.
 	PerSecond float64
@@ -51,7 +51,7 @@
 // limit differs from the one before. The wakes are valid until the next call.
 func (c *Controller) RecordRate(now time.Time, report RateReport) (isChanged bool, wakes []Wake) {
 	c.wakes = c.wakes[:0]
-	if c.upstream == nil || c.upstream.Instance != report.Instance {
+	if c.config.IsRegistered && (c.upstream == nil || c.upstream.Instance != report.Instance) {
 		return false, nil
 	}
 	isChanged = c.rateLimit.record(now, report)
--- a/io/proxy/gate_forward.go
+++ b/io/proxy/gate_forward.go
@@ -100,6 +100,8 @@
 			return kind, detail
 		}
 		c.recordSlowness(response.Header)
+	} else {
+		c.observeNotice(response.Header)
 	}
 	bootID := firstValue(response.Header, keyBootID)
 	if firstValue(response.Header, keyShed) != "" {
--- a/io/proxy/gate_notice.go
+++ b/io/proxy/gate_notice.go
@@ -12,7 +12,7 @@
 // observeNotice records what the upstream says of itself in the headers of an answer.
 func (c *gateCall) observeNotice(answer http.Header) {
 	g := c.gate
-	notice := g.config.Dialect.UpstreamNotice(answer)
+	notice := g.notice(answer)
 	c.hasNotice = notice != core.UpstreamNotice{}
 	if notice.IsLeaving {
 		c.recordLeaving()
@@ -65,6 +65,14 @@
 	}
 }
 
+// notice returns what the upstream says of itself. Without a Dialect it can only name a limit.
+func (g *Gate) notice(answer http.Header) core.UpstreamNotice {
+	if g.config.Dialect == nil {
+		return core.RateLimitNotice(answer[keyRateLimit])
+	}
+	return g.config.Dialect.UpstreamNotice(answer)
+}
+
 // RateLimit returns the number of requests a second that the upstream says it takes; ok is false if it
 // names none.
 func (g *Gate) RateLimit() (perSecond float64, ok bool) {
--- a/io/proxy/gate_report.go
+++ b/io/proxy/gate_report.go
@@ -56,7 +56,7 @@
 		header[keyHostLoad] = []string{string(hostLoad)}
 	}
 	header[keyLoad] = []string{string(load)}
-	if c.hasNotice {
+	if c.hasNotice && c.instance != "" {
 		header[keyInstance] = []string{c.instance}
 	}
 	if c.body != nil && !c.body.isAtEnd() {
--- a/io/proxy/header.go
+++ b/io/proxy/header.go
@@ -40,9 +40,10 @@
 	// leaving, in whole milliseconds. An answer is of no use to it afterwards. Together with HeaderProbe,
 	// it holds for all queued requests of the sender.
 	HeaderCloses = "Verbenaway-ClosesMs"
-	// HeaderRateLimit is the number of requests a second that the upstream takes from all hosts
-	// together, as the process that HeaderInstance names said in an answer to the sender. In an answer
-	// HeaderInstance names the process that has sent it.
+	// HeaderRateLimit in an answer of an upstream is the number of requests a second that it takes from
+	// all hosts together, as a decimal number. In a request it is what the process that HeaderInstance
+	// names said in an answer to the sender. In an answer of a gatekeeper HeaderInstance names the process
+	// that has sent it.
 	HeaderRateLimit = "Verbenaway-RateLimit"
 	HeaderInstance  = "Verbenaway-Instance"
 	// HeaderSuspect is the fingerprint of a request, in hexadecimal digits. It says that upstreams have ended
--- a/io/stand/upstream.go
+++ b/io/stand/upstream.go
@@ -331,11 +331,14 @@
 	http.Error(w, "not run: no slot left", http.StatusServiceUnavailable)
 }
 
-// setIdentity sets the headers with the boot id and the host name.
+// setIdentity sets the headers with the boot id and the host name, and with the limit if there is one.
 func (u *Upstream) setIdentity(header http.Header) {
 	u.mu.Lock()
-	restarts := u.restarts
+	restarts, limit := u.restarts, u.faults.RateLimit
 	u.mu.Unlock()
+	if limit > 0 {
+		header.Set(proxy.HeaderRateLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	header.Set(proxy.HeaderBootID, fmt.Sprintf("%s-%d", u.config.Host, restarts))
 	header.Set(HeaderUpstream, string(u.config.Host))
 }
--- a/io/stand/upstreamfault.go
+++ b/io/stand/upstreamfault.go
@@ -31,6 +31,9 @@
 	SlowBody core.Duration `json:"slowBody"`
 	// Delay is added to the service time.
 	Delay core.Duration `json:"delay"`
+	// RateLimit is the number of requests a second that the upstream names in its answers as what it
+	// takes, 0 for none.
+	RateLimit float64 `json:"rateLimit"`
 	// HealthStatus replaces the status that the health endpoint reports.
 	HealthStatus string `json:"healthSays"`
 	// Every limits Hang, ResetBefore, ResetAfter, Cut, SlowBody and Delay to every n-th
