--- a/io/poison/keeper_test.go
+++ b/io/poison/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -16,14 +17,19 @@
 	"verbenaway/io/poison"
 )
 
-// learnTime is the time within which all daemons in touch have to know what one of them has learned.
-const learnTime = 3 * time.Second
+const (
+	// learnTime is the time within which all daemons in touch have to know what one of them has learned.
+	learnTime   = 3 * time.Second
+	meshZones   = 3
+	meshPerZone = 5
+)
 
-// mesh is a number of daemons in three zones, which share through it.
+// mesh is a number of daemons in some zones, which share through it.
 type mesh struct {
-	c       *qt.C
+	c     *qt.C
+	hosts []core.Host
+
 	mu      sync.Mutex
-	hosts   []core.Host
 	keepers map[string]*poison.Keeper
 	// isCut tells which daemons cannot reach each other.
 	isCut func(from, to core.Host) bool
@@ -31,46 +37,40 @@
 	shares int
 }
 
+// meshClient is the core.ShareClient of one daemon.
 type meshClient struct {
-	mesh *mesh
+	*mesh
 	from core.Host
 }
 
 // Share implements core.ShareClient.
 func (m meshClient) Share(ctx context.Context, address string, request core.ShareRequest) (core.ShareAnswer, error) {
-	m.mesh.mu.Lock()
-	m.mesh.shares++
-	keeper, isCut := m.mesh.keepers[address], false
-	for _, host := range m.mesh.hosts {
-		isCut = isCut || host.PeerAddress == address && m.mesh.isCut != nil && m.mesh.isCut(m.from, host)
-	}
-	m.mesh.mu.Unlock()
-	if isCut {
+	to := m.hosts[slices.IndexFunc(m.hosts, func(host core.Host) bool { return host.PeerAddress == address })]
+	m.mu.Lock()
+	m.shares++
+	keeper, isCut := m.keepers[address], m.isCut(m.from, to)
+	m.mu.Unlock()
+	switch {
+	case isCut:
 		// Nothing comes back from behind a cut.
 		<-ctx.Done()
 		return core.ShareAnswer{}, ctx.Err()
-	}
-	if keeper == nil {
+	case keeper == nil:
 		return core.ShareAnswer{}, errors.New("connection refused")
 	}
 	time.Sleep(2 * time.Millisecond)
 	return keeper.Share(ctx, request)
 }
 
-type noJournal struct{}
-
-func (noJournal) Record(core.Event) {}
-
-const (
-	meshZones   = 3
-	meshPerZone = 5
-)
+// Record implements core.Journal.
+func (meshClient) Record(core.Event) {}
 
 func newMesh(t *testing.T) *mesh {
 	m := &mesh{
 		c:       qt.New(t),
 		keepers: map[string]*poison.Keeper{},
 	}
+	m.cut(func(_, _ core.Host) bool { return false })
 	for i := range meshZones * meshPerZone {
 		m.hosts = append(m.hosts, core.Host{
 			Name:             core.HostName(fmt.Sprintf("10.%d.0.%d:8301", i%meshZones, i)),
@@ -78,42 +78,36 @@
 			PeerAddress:      fmt.Sprintf("10.%d.0.%d:7621", i%meshZones, i),
 		})
 	}
+	m.start(m.but()...)
+	time.Sleep(200 * time.Millisecond)
 	return m
 }
 
-// start starts daemons, in place of those that run.
+// start starts daemons, in place of those that run; nobody reaches these any more.
 func (m *mesh) start(indexes ...int) {
 	for _, i := range indexes {
-		m.stop(i)
-		host := m.hosts[i]
+		client := meshClient{mesh: m, from: m.hosts[i]}
 		keeper := poison.New(poison.Config{
-			Self:    host,
+			Self:    m.hosts[i],
 			Hosts:   func() []core.Host { return m.hosts },
-			Peers:   meshClient{mesh: m, from: host},
+			Peers:   client,
 			Clock:   kernel.SystemClock{},
-			Journal: noJournal{},
+			Journal: client,
 		})
 		m.mu.Lock()
-		m.keepers[host.PeerAddress] = keeper
+		m.keepers[m.hosts[i].PeerAddress] = keeper
 		m.mu.Unlock()
 		m.c.Assert(keeper.Start(m.c.Context()), qt.IsNil)
 		m.c.Cleanup(func() { _ = keeper.Stop(context.Background()) })
 	}
 }
 
-// stop ends a daemon. Its keeper runs on until the end of the test, but nobody reaches it.
 func (m *mesh) stop(i int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.keepers, m.hosts[i].PeerAddress)
 }
 
-func (m *mesh) startAll() {
-	for i := range m.hosts {
-		m.start(i)
-	}
-}
-
 func (m *mesh) keeper(i int) *poison.Keeper {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -126,6 +120,13 @@
 	m.isCut = isCut
 }
 
+// cutOff cuts one daemon off from all others.
+func (m *mesh) cutOff(i int) {
+	m.cut(func(from, to core.Host) bool { return from == m.hosts[i] || to == m.hosts[i] })
+}
+
+func (m *mesh) heal() { m.cut(func(_, _ core.Host) bool { return false }) }
+
 var deadly = corepoison.Head{Method: "GET", Host: "mesh.test", Target: "/deadly", Caller: "netbook"}
 
 // lose reports crashes, each at another daemon.
@@ -135,106 +136,96 @@
 	}
 }
 
-// waitVerdict waits until daemons have a verdict, learnTime at most.
-func (m *mesh) waitVerdict(want core.Verdict, daemons ...int) {
+// await waits until daemons have a verdict, learnTime at most.
+func (m *mesh) await(want core.Verdict, daemons ...int) {
 	m.c.Helper()
 	end := time.Now().Add(learnTime)
 	for _, i := range daemons {
 		for m.keeper(i).Verdict(corepoison.NewHash(deadly).Fingerprint()) != want {
-			if time.Now().After(end) {
-				m.c.Fatalf("daemon %d does not have the verdict %d after %v", i, want, learnTime)
-			}
+			m.c.Assert(time.Now().Before(end), qt.IsTrue, qt.Commentf("daemon %d does not have the verdict %d after %v", i, want, learnTime))
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
 }
 
-func (m *mesh) all(without ...int) []int {
+// but returns all daemons but some.
+func (m *mesh) but(without ...int) []int {
 	var all []int
 	for i := range m.hosts {
-		isLeftOut := false
-		for _, j := range without {
-			isLeftOut = isLeftOut || i == j
-		}
-		if !isLeftOut {
+		if !slices.Contains(without, i) {
 			all = append(all, i)
 		}
 	}
 	return all
 }
 
-// TestAllLearn guards against daemons that pass on a request which has crashed upstreams, because these
-// crashes were seen by other daemons, and against exchanges while nothing is known.
-func TestAllLearn(t *testing.T) {
-	t.Parallel()
-	m := newMesh(t)
-	m.startAll()
-	m.c.Assert(m.keeper(0).IsActive(), qt.IsFalse)
-	time.Sleep(time.Second)
-	m.mu.Lock()
-	before := m.shares
-	m.mu.Unlock()
-	time.Sleep(time.Second)
-	m.mu.Lock()
-	m.c.Assert(m.shares, qt.Equals, before)
-	m.mu.Unlock()
-	m.lose(0, 4, 8)
-	m.waitVerdict(core.VerdictQuarantined, m.all()...)
-	m.keeper(11).RecordAnswer(corepoison.NewHash(deadly).Fingerprint())
-	m.waitVerdict(core.VerdictNone, m.all()...)
-}
-
-// TestLearnDespiteFaults guards against what one daemon knows not reaching others while some are down,
-// cut off from each other, have just started or were out of reach for a time.
-func TestLearnDespiteFaults(t *testing.T) {
+// TestLearning guards against what one daemon knows not reaching others: in calm, and while some are
+// down, cut off from each other, have just started or were out of reach for a time.
+func TestLearning(t *testing.T) {
+	const quarantined = core.VerdictQuarantined
 	for _, tc := range []struct {
 		name string
 		play func(m *mesh)
 	}{
+		{name: "calm", play: func(m *mesh) {
+			m.lose(0, 4, 8)
+			m.await(quarantined, m.but()...)
+			m.keeper(11).RecordAnswer(corepoison.NewHash(deadly).Fingerprint())
+			m.await(core.VerdictNone, m.but()...)
+		}},
 		{name: "most daemons are down", play: func(m *mesh) {
 			// Whichever is the head of its zone, it is down in some of the zones.
 			for i := range meshZones * (meshPerZone - 2) {
 				m.stop(i)
 			}
 			m.lose(9, 10, 11)
-			m.waitVerdict(core.VerdictQuarantined, 9, 10, 11, 12, 13, 14)
+			m.await(quarantined, 9, 10, 11, 12, 13, 14)
 		}},
 		{name: "two zones cannot reach each other", play: func(m *mesh) {
 			m.cut(func(from, to core.Host) bool {
 				return from.AvailabilityZone != to.AvailabilityZone && from.AvailabilityZone != "zone2" && to.AvailabilityZone != "zone2"
 			})
 			m.lose(0, 1, 4)
-			m.waitVerdict(core.VerdictQuarantined, m.all()...)
+			m.await(quarantined, m.but()...)
 		}},
 		{name: "daemons start again", play: func(m *mesh) {
 			m.lose(0, 1, 2)
-			m.waitVerdict(core.VerdictQuarantined, m.all()...)
-			m.start(m.all(3, 4)...)
-			m.waitVerdict(core.VerdictQuarantined, m.all()...)
+			m.await(quarantined, m.but()...)
+			m.start(m.but(3, 4)...)
+			m.await(quarantined, m.but()...)
 		}},
 		{name: "a daemon is cut off meanwhile", play: func(m *mesh) {
-			alone := m.hosts[7]
-			m.cut(func(from, to core.Host) bool { return from.Name == alone.Name || to.Name == alone.Name })
+			m.cutOff(7)
 			m.lose(0, 1, 2)
-			m.waitVerdict(core.VerdictQuarantined, m.all(7)...)
-			m.cut(nil)
-			m.waitVerdict(core.VerdictQuarantined, 7)
+			m.await(quarantined, m.but(7)...)
+			m.heal()
+			m.await(quarantined, 7)
 		}},
 		{name: "a daemon that is cut off knows most", play: func(m *mesh) {
-			alone := m.hosts[7]
-			m.cut(func(from, to core.Host) bool { return from.Name == alone.Name || to.Name == alone.Name })
+			m.cutOff(7)
 			m.lose(7, 7, 7)
-			m.waitVerdict(core.VerdictQuarantined, 7)
-			m.cut(nil)
-			m.waitVerdict(core.VerdictQuarantined, m.all()...)
+			m.await(quarantined, 7)
+			m.heal()
+			m.await(quarantined, m.but()...)
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			m := newMesh(t)
-			m.startAll()
-			time.Sleep(200 * time.Millisecond)
-			tc.play(m)
+			tc.play(newMesh(t))
 		})
 	}
 }
+
+// TestNothingIsSentInCalm guards against exchanges while nothing is known.
+func TestNothingIsSentInCalm(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	time.Sleep(time.Second)
+	m.mu.Lock()
+	before := m.shares
+	m.mu.Unlock()
+	time.Sleep(time.Second)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.c.Assert(m.shares, qt.Equals, before)
+}
