proxy: each loss is checked, whatever an earlier check found

Cause: once a process had counted as ended, each further lost answer of it counted as its end without a check, and the gatekeeper kept the call that had found it in memory. Change: the result of the check decides; the process is remembered by name, so that the event comes once. Result: found by reading.

--- a/io/proxy/gate.go
+++ b/io/proxy/gate.go
@@ -93,7 +93,7 @@
 
 	rateLimitEvents *rate.Limiter
 	// crashChecks combines simultaneous checks whether the upstream has ended, and crashed is the latest
-	// process that has.
+	// process that has, of which the event was recorded.
 	crashChecks singleflight.Group
 	crashed     atomic.Pointer[string]
 
--- a/io/proxy/gate_crash.go
+++ b/io/proxy/gate_crash.go
@@ -32,15 +32,16 @@
 		return
 	}
 	running := g.InFlight()
-	_, _, _ = g.crashChecks.Do(c.instance, func() (any, error) {
-		if g.hasCrashed() {
-			g.crashed.Store(&c.instance)
-			g.record(core.EventUpstreamCrashed, c.instance, fmt.Sprintf("%d requests in progress", running))
-		}
-		return nil, nil //nolint:nilnil // the result is in crashed
+	result, _, _ := g.crashChecks.Do(c.instance, func() (any, error) {
+		return g.hasCrashed(), nil
 	})
-	if crashed := g.crashed.Load(); crashed != nil && *crashed == c.instance {
-		c.hasCrashed = true
+	c.hasCrashed = result.(bool)
+	instance := c.instance
+	if !c.hasCrashed {
+		return
+	}
+	if before := g.crashed.Swap(&instance); before == nil || *before != instance {
+		g.record(core.EventUpstreamCrashed, instance, fmt.Sprintf("%d requests in progress", running))
 	}
 }
 
