admit, follow: upstreams that start with their daemon are not held back

Callers: after all hosts had lost power, cold upstreams served nothing for a second. Change: only an upstream that started more than half a second before its daemon, by the time of day in its registration.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -170,9 +170,6 @@
 			BytesPerSecond: float64(config.LinkRate),
 		},
 	}
-	if !config.StartedAt.IsZero() {
-		c.starts.unknownUntil = config.StartedAt.Add(coldRateWindow)
-	}
 	return c
 }
 
--- a/core/admit/upstream.go
+++ b/core/admit/upstream.go
@@ -14,6 +14,8 @@
 	Service  core.ServiceName
 	// Slots is at least 1.
 	Slots int
+	// StartedAt is the time of day of its start, zero if unknown.
+	StartedAt time.Time
 	// ColdUntil is the end of the cold start; zero or a past time means warm.
 	ColdUntil time.Time
 	IsLeaving bool
@@ -40,6 +42,7 @@
 		Instance:  member.Host.Instance,
 		Service:   member.Host.Service,
 		Slots:     max(member.Slots, 1),
+		StartedAt: member.StartedAt,
 		ColdUntil: member.ColdUntil,
 		IsLeaving: member.State == core.MemberLeaving,
 	}
@@ -58,6 +61,7 @@
 		record := *upstream
 		c.upstream = &record
 		c.rateLimit.setInstance(upstream.Instance)
+		c.starts.unknownUntil = c.unknownStartsUntil(upstream)
 	}
 	if before == nil || upstream == nil || before.Instance != upstream.Instance {
 		c.serviceTimes.reset()
@@ -77,6 +81,19 @@
 	return c.wakes
 }
 
+// restartTime is less than a daemon takes to end and be started again, together with the time from the
+// start of an upstream to the first request for it.
+const restartTime = 500 * time.Millisecond
+
+// unknownStartsUntil returns the end of the time in which an earlier process of this daemon may have used
+// the rate of a cold start, zero if it cannot have known the upstream.
+func (c *Controller) unknownStartsUntil(upstream *Upstream) time.Time {
+	if c.config.StartedAt.IsZero() || upstream.StartedAt.After(c.config.StartedAt.Add(-restartTime)) {
+		return time.Time{}
+	}
+	return c.config.StartedAt.Add(coldRateWindow)
+}
+
 // AssumeColdUntil treats the upstream as cold until a time, since it may have restarted
 // unnoticed. A zero time ends this.
 func (c *Controller) AssumeColdUntil(until time.Time) {
--- a/core/follow/view.go
+++ b/core/follow/view.go
@@ -152,6 +152,9 @@
 	if member.Host.State == core.HostLeaving {
 		member.State = core.MemberLeaving
 	}
+	if e.Upstream.StartedMs > 0 {
+		member.StartedAt = time.UnixMilli(e.Upstream.StartedMs)
+	}
 	if now.Before(e.coldUntil) {
 		member.ColdUntil = e.coldUntil
 	}
--- a/core/iface.go
+++ b/core/iface.go
@@ -69,6 +69,8 @@
 	LeavingAt  int64
 	// Slots is the number of slots that the upstream itself reports, 0 if it reports none.
 	Slots int
+	// StartedAt is the time of day at which the upstream says that it started, zero if it does not say.
+	StartedAt time.Time
 	// ColdUntil is the local time at which the cold start of the upstream ends, zero if none
 	// is known.
 	ColdUntil time.Time
